Serve a request end to end through separate processes

Cause: there was no code. Change: balancer and control programs, operator commands, stand-ins of fabric, caller and backend server, the four layers with their check, and one script for setup, demo, checks, proofs and measurements. Every packet goes through the primary owner of its flow's bucket; a record reaches all owners before the backend server sees the opening. Before: nothing ran. Conclusion: the frame holds; decisions, control replication, proofs and measurements grow on it.

--- /dev/null
+++ b/src/mustardhold/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line as ``python -m mustardhold``."""
+
+import sys
+
+from mustardhold.cli import main
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/mustardhold/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs, disk, settings, logs and metrics."""
--- /dev/null
+++ b/src/mustardhold/adapters/clock.py
@@ -0,0 +1,29 @@
+"""Clocks that are passed to daemons and adapters."""
+
+import time
+from datetime import UTC, datetime
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of time."""
+
+    def monotonic(self) -> float:
+        """Read seconds that never run backwards."""
+
+    def now(self) -> datetime:
+        """Read the time of day, in UTC."""
+
+
+class SystemClock:
+    """The clock of the machine."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Read seconds that never run backwards."""
+        return time.monotonic()
+
+    def now(self) -> datetime:
+        """Read the time of day, in UTC."""
+        return datetime.now(UTC)
--- /dev/null
+++ b/src/mustardhold/adapters/http_app.py
@@ -0,0 +1,113 @@
+"""A small ASGI application: typed handlers by method and path."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from mustardhold.tables.routing import Finding, Refused
+
+MAX_BODY_BYTES = 262_144
+JSON_TYPE = 'application/json'
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """An HTTP request, read whole."""
+
+    query: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An HTTP response."""
+
+    status: HTTPStatus
+    body: bytes
+    content_type: str = JSON_TYPE
+
+
+Handler = Callable[[Ask], Awaitable[Reply]]
+HandlersByPath = Mapping[tuple[str, str], Handler]
+Application = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+def json_reply(value: object, status: HTTPStatus = HTTPStatus.OK) -> Reply:
+    """Answer with a value as JSON."""
+    return Reply(status, msgspec.json.encode(value))
+
+
+def refuse(place: str, message: str, status: HTTPStatus) -> Reply:
+    """Answer with one finding."""
+    return json_reply(Refused((Finding(place, message),)), status)
+
+
+def make_app(handlers: HandlersByPath) -> Application:
+    """Make the ASGI application that serves some handlers."""
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        if scope['type'] == 'lifespan':
+            await answer_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            reply = await answer(handlers, scope, receive)
+            await send_reply(reply, send)
+
+    return app
+
+
+async def answer_lifespan(receive: Any, send: Any) -> None:
+    """Answer the server's start and stop events."""
+    while True:
+        event = await receive()
+        await send({'type': f'{event["type"]}.complete'})
+        if event['type'] == 'lifespan.shutdown':
+            return
+
+
+async def answer(handlers: HandlersByPath, scope: Any, receive: Any) -> Reply:
+    """Read a request and call its handler."""
+    handler = handlers.get((scope['method'], scope['path']))
+    if handler is None:
+        return refuse('path', 'no such page', HTTPStatus.NOT_FOUND)
+    body = await read_body(receive)
+    if body is None:
+        return refuse(
+            'body', 'is too large', HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        )
+    query = dict(parse_qsl(scope['query_string'].decode('latin-1')))
+    try:
+        return await handler(Ask(query, body))
+    except msgspec.DecodeError as error:
+        return refuse('body', str(error), HTTPStatus.BAD_REQUEST)
+
+
+async def read_body(receive: Any) -> bytes | None:
+    """Read a request's body, or nothing where it is too large."""
+    body = bytearray()
+    while True:
+        event = await receive()
+        body += event.get('body', b'')
+        if len(body) > MAX_BODY_BYTES:
+            return None
+        if not event.get('more_body', False):
+            return bytes(body)
+
+
+async def send_reply(reply: Reply, send: Any) -> None:
+    """Send a response."""
+    headers = [
+        (b'content-type', reply.content_type.encode('latin-1')),
+        (b'content-length', str(len(reply.body)).encode('latin-1')),
+    ]
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': reply.status.value,
+            'headers': headers,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': reply.body})
--- /dev/null
+++ b/src/mustardhold/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin trio processes around the library."""
--- /dev/null
+++ b/src/mustardhold/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: plain functions over tables, without input or output."""
--- /dev/null
+++ b/src/mustardhold/systems/addresses.py
@@ -0,0 +1,43 @@
+"""Addresses as text and as the bytes of a flow key."""
+
+import ipaddress
+import struct
+from functools import lru_cache
+
+PORT_FORMAT = '!H'
+IPV4_BYTES = 4
+CACHED_ADDRESSES = 65_536
+
+
+def pack_address(address: str) -> bytes:
+    """Turn ``"ip:port"`` into six bytes in network order.
+
+    Raises
+    ------
+    ValueError
+        If the text is not an IPv4 address with a port.
+    """
+    host, colon, port_text = address.rpartition(':')
+    port = int(port_text)
+    if not colon or not 0 <= port < 2**16:
+        raise ValueError(f'not an address with a port: {address!r}')
+    return ipaddress.IPv4Address(host).packed + struct.pack(PORT_FORMAT, port)
+
+
+def unpack_address(packed: bytes) -> tuple[str, int]:
+    """Turn six bytes into a host and a port."""
+    port: int = struct.unpack(PORT_FORMAT, packed[IPV4_BYTES:])[0]
+    return str(ipaddress.IPv4Address(packed[:IPV4_BYTES])), port
+
+
+@lru_cache(maxsize=CACHED_ADDRESSES)
+def caller_address(packed: bytes) -> tuple[str, int]:
+    """Read a caller's host and port, kept for its next packets."""
+    return unpack_address(packed)
+
+
+@lru_cache(maxsize=CACHED_ADDRESSES)
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``"ip:port"`` into a host and a port."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/src/mustardhold/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities and typed messages, without behaviour."""
--- /dev/null
+++ b/src/mustardhold/tables/balancer.py
@@ -0,0 +1,34 @@
+"""All state of one balancer."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from mustardhold.tables.backends import KnownBackend
+from mustardhold.tables.flows import FlowRecord, RequestRecord
+from mustardhold.tables.routing import RoutingTable, empty_table
+from mustardhold.tables.views import View
+
+
+@dataclass(slots=True)
+class BalancerTables:
+    """Everything a balancer knows.
+
+    Attributes
+    ----------
+    service_by_address
+        Service name by the last six bytes of a flow key; follows ``routing``.
+    counters
+        Decisions by ``(service, outcome)``.
+    """
+
+    instance_id: str
+    data_centre: str
+    view: View
+    routing: RoutingTable = field(default_factory=empty_table)
+    service_by_address: dict[bytes, str] = field(default_factory=dict)
+    backends_by_id: dict[str, KnownBackend] = field(default_factory=dict)
+    flows_by_key: dict[bytes, FlowRecord] = field(default_factory=dict)
+    requests_by_id: dict[bytes, RequestRecord] = field(default_factory=dict)
+    owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    counters: Counter[tuple[str, str]] = field(default_factory=Counter)
+    stopping: bool = False
--- /dev/null
+++ b/src/mustardhold/tables/constants.py
@@ -0,0 +1,25 @@
+"""Limits and intervals shared by the whole product."""
+
+from datetime import timedelta
+from typing import Final
+
+FLOW_KEY_BYTES: Final = 12
+REQUEST_ID_BYTES: Final = 16
+MAX_PACKET_BYTES: Final = 1400
+MAX_HOLD_PACKETS: Final = 4096
+MAX_FLOW_RECORDS: Final = 400_000
+MAX_REQUEST_RECORDS: Final = 100_000
+MAX_BACKEND_SERVERS: Final = 4096
+MAX_TABLE_ENTRIES: Final = 40_000
+
+BUCKETS_PER_POOL: Final = 256
+RECORD_OWNERS: Final = 3
+RELAY_HOPS: Final = 2
+PACKETS_PER_BATCH: Final = 64
+
+TICK: Final = timedelta(milliseconds=100)
+ANNOUNCE_INTERVAL: Final = timedelta(milliseconds=500)
+ANNOUNCE_LIFETIME: Final = timedelta(seconds=3)
+REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
+LONG_POLL: Final = timedelta(seconds=5)
+STOP_BOUND: Final = timedelta(seconds=10)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems."""
--- /dev/null
+++ b/tests/test_packet_codec.py
@@ -0,0 +1,27 @@
+"""The codec drops what is malformed and keeps what is not."""
+
+from hypothesis import given, seed, settings, strategies
+
+from mustardhold.adapters.packet_codec import decode_packet, encode_packet
+from mustardhold.tables.packets import Open, Request
+
+
+@seed(1)
+@settings(max_examples=500, database=None, deadline=None)
+@given(strategies.binary(max_size=2000))
+def test_any_bytes_are_decoded_or_dropped(raw):
+    packet = decode_packet(raw)
+    assert packet is None or decode_packet(encode_packet(packet)) == packet
+
+
+def test_packets_survive_the_codec():
+    for packet in (
+        Open(b'f' * 12),
+        Request(b'f' * 12, b'r' * 16, False, 100, b'payload'),
+    ):
+        assert decode_packet(encode_packet(packet)) == packet
+
+
+def test_wrong_lengths_are_dropped():
+    assert decode_packet(encode_packet(Open(b'short'))) is None
+    assert decode_packet(b'\x00' * 1401) is None
--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,18 @@
+"""Each proof holds for the product and fails for its naive version."""
+
+import pytest
+
+from tools.prove import run_proof
+from tools.registry import proofs_by_name
+
+PROOFS = list(proofs_by_name().values())
+
+
+@pytest.mark.parametrize('proof', PROOFS, ids=lambda proof: proof.name)
+def test_promise_holds(proof):
+    assert run_proof(proof, proof.ci_seeds, naive=False)
+
+
+@pytest.mark.parametrize('proof', PROOFS, ids=lambda proof: proof.name)
+def test_naive_version_breaks_the_promise(proof):
+    assert not run_proof(proof, proof.ci_seeds, naive=True)
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,7 @@
+"""The whole path as separate processes."""
+
+from tools.demo import SEEWINKEL, run_deployment
+
+
+def test_a_deployment_keeps_its_promises():
+    assert run_deployment(SEEWINKEL)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, proofs, measurements and checks of the project."""
--- /dev/null
+++ b/tools/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes for the interfaces that decisions depend on."""
--- /dev/null
+++ b/tools/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product, beside naive versions."""
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,97 @@
+"""Starts and ends processes of the product and of the stand-ins."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+import yaml
+
+LOOPBACK = '127.0.0.1'
+READY_SECONDS = 15
+STOP_SECONDS = 15
+POLL_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Processes that one run has started, by name."""
+
+    folder: Path
+    processes_by_name: dict[str, subprocess.Popen[str]] = field(
+        default_factory=dict
+    )
+
+
+def free_address(kind: socket.SocketKind = socket.SOCK_DGRAM) -> str:
+    """Find an address on loopback that nobody listens on."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((LOOPBACK, 0))
+        return f'{LOOPBACK}:{sock.getsockname()[1]}'
+
+
+def free_tcp_address() -> str:
+    """Find a TCP address on loopback that nobody listens on."""
+    return free_address(socket.SOCK_STREAM)
+
+
+def start(fleet: Fleet, name: str, *command: str) -> None:
+    """Start a Python module as a process; its log goes to a file."""
+    log_path = fleet.folder / f'{name}.log'
+    with log_path.open('a', encoding='utf-8') as log:
+        fleet.processes_by_name[name] = subprocess.Popen(
+            [sys.executable, '-m', *command],
+            stdout=subprocess.PIPE,
+            stderr=log,
+            text=True,
+        )
+
+
+def start_program(
+    fleet: Fleet, program: str, settings: dict[str, object]
+) -> None:
+    """Write a settings file and start a program of the product on it."""
+    name = str(settings['instance_id'])
+    path = fleet.folder / f'{name}.yaml'
+    path.write_text(yaml.safe_dump(settings), encoding='utf-8')
+    start(fleet, name, 'mustardhold', program, '--settings', str(path))
+
+
+def wait_ready(http_address: str) -> None:
+    """Wait until a process answers over HTTP.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not answer within ``READY_SECONDS``.
+    """
+    deadline = time.monotonic() + READY_SECONDS
+    while time.monotonic() < deadline:
+        try:
+            httpx.get(f'http://{http_address}/status', timeout=1)
+        except httpx.HTTPError:
+            time.sleep(POLL_SECONDS)
+        else:
+            return
+    raise TimeoutError(f'{http_address} does not answer')
+
+
+def stop(fleet: Fleet, name: str) -> tuple[int, str]:
+    """Ask a process to stop, and read its exit code and output."""
+    process = fleet.processes_by_name.pop(name)
+    process.send_signal(signal.SIGTERM)
+    try:
+        output, _ = process.communicate(timeout=STOP_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        output, _ = process.communicate()
+    return process.returncode, output
+
+
+def stop_all(fleet: Fleet) -> dict[str, tuple[int, str]]:
+    """Stop every process of the fleet."""
+    return {name: stop(fleet, name) for name in list(fleet.processes_by_name)}
--- /dev/null
+++ b/tools/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the promises, each against a naive version."""
