--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -28,10 +28,7 @@
     take_backend_packet,
     take_caller_packet,
 )
-from mustardhold.systems.announcements import (
-    share_announcement,
-    take_announcement,
-)
+from mustardhold.systems.announcements import take_announced
 from mustardhold.systems.peers import take_peer_message, tick
 from mustardhold.tables.backends import BackendServer
 from mustardhold.tables.balancer import BalancerTables
@@ -134,8 +131,7 @@
     announced = msgspec.json.decode(ask.body, type=BackendServer)
     outbox: Outbox = []
     now = balancer.clock.monotonic()
-    if take_announcement(balancer.tables, now, announced):
-        share_announcement(balancer.tables, announced, outbox)
+    take_announced(balancer.tables, now, announced, outbox)
     send_all(balancer, outbox)
     return json_reply({'status': 'taken'})
 
--- a/src/mustardhold/systems/announcements.py
+++ b/src/mustardhold/systems/announcements.py
@@ -52,6 +52,17 @@
             outbox.append(ToPeer(instance_id, BackendShared(announced)))
 
 
+def take_announced(
+    tables: BalancerTables,
+    now: float,
+    announced: BackendServer,
+    outbox: Outbox,
+) -> None:
+    """Store a server's own announcement and share it if it is newer."""
+    if take_announcement(tables, now, announced):
+        share_announcement(tables, announced, outbox)
+
+
 def expire_backends(tables: BalancerTables, now: float) -> None:
     """Forget servers that went silent and hold no flow placed here."""
     lifetime = ANNOUNCE_LIFETIME.total_seconds()
--- /dev/null
+++ b/src/mustardhold/systems/opening.py
@@ -0,0 +1,70 @@
+"""Places new flows on backend servers."""
+
+from mustardhold.systems.choice import choose_server
+from mustardhold.systems.records import pass_chain
+from mustardhold.systems.routing import open_servers, service_of
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import MAX_FLOW_RECORDS
+from mustardhold.tables.flows import FlowRecord
+from mustardhold.tables.outbox import Outbox, ToCaller
+from mustardhold.tables.packets import Open, OpenRefused
+from mustardhold.tables.peers import RecordChain
+
+
+def open_flow(
+    tables: BalancerTables,
+    packet: Open,
+    record: FlowRecord | None,
+    owners: tuple[str, ...],
+    outbox: Outbox,
+) -> None:
+    """Place a new flow, or repeat the opening of a known one."""
+    if record is None:
+        record = place_flow(tables, packet, outbox)
+    if record is None:
+        return
+    chain = RecordChain(
+        tables.view.epoch,
+        packet.flow,
+        record.service,
+        record.backend_id,
+        owners[1:],
+    )
+    pass_chain(tables, chain, outbox)
+
+
+def place_flow(
+    tables: BalancerTables, packet: Open, outbox: Outbox
+) -> FlowRecord | None:
+    """Choose a server for a new flow and record it; refuse it otherwise."""
+    service = service_of(tables, packet.flow)
+    pool = tables.routing.pools_by_name.get(service or '')
+    if service is None or pool is None:
+        refuse_open(tables, packet.flow, service or '', 'no-service', outbox)
+        return None
+    if len(tables.flows_by_key) >= MAX_FLOW_RECORDS:
+        refuse_open(tables, packet.flow, service, 'table-full', outbox)
+        return None
+    chosen = choose_server(
+        packet.flow, tables.data_centre, open_servers(tables, pool)
+    )
+    if chosen is None:
+        refuse_open(tables, packet.flow, service, 'no-capacity', outbox)
+        return None
+    chosen.held_flows += 1
+    record = FlowRecord(service, chosen.announced.backend_id, is_primary=True)
+    tables.flows_by_key[packet.flow] = record
+    tables.counters[service, 'opened'] += 1
+    return record
+
+
+def refuse_open(
+    tables: BalancerTables,
+    flow: bytes,
+    service: str,
+    reason: str,
+    outbox: Outbox,
+) -> None:
+    """Tell a caller why its flow was not opened."""
+    tables.counters[service, f'open-refused-{reason}'] += 1
+    outbox.append(ToCaller(OpenRefused(flow, reason)))
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -1,14 +1,11 @@
 """Messages from other balancers, and the work of each tick."""
 
-from mustardhold.systems.affinity import (
-    forget_flow,
-    take_caller_packet,
-    take_chain,
-)
+from mustardhold.systems.affinity import take_caller_packet
 from mustardhold.systems.announcements import (
     expire_backends,
     take_announcement,
 )
+from mustardhold.systems.records import forget_flow, take_chain
 from mustardhold.systems.requests import expire_requests
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox
--- /dev/null
+++ b/src/mustardhold/systems/records.py
@@ -0,0 +1,58 @@
+"""Records of flows at the owners of their bucket."""
+
+from mustardhold.systems.ownership import owners_for
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.flows import FlowRecord
+from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
+from mustardhold.tables.packets import Open
+from mustardhold.tables.peers import FlowClosed, RecordChain
+
+
+def pass_chain(
+    tables: BalancerTables, chain: RecordChain, outbox: Outbox
+) -> None:
+    """Pass a record to the next owner, or the opening to the server."""
+    if chain.owners:
+        outbox.append(ToPeer(chain.owners[0], chain))
+        return
+    known = tables.backends_by_id.get(chain.backend_id)
+    if known is None:
+        tables.counters[chain.service, 'chain-unknown-server'] += 1
+        return
+    outbox.append(ToBackend(known.announced.address, Open(chain.flow)))
+
+
+def take_chain(
+    tables: BalancerTables, chain: RecordChain, outbox: Outbox
+) -> None:
+    """Store a record as one of its owners and pass it on."""
+    if chain.flow not in tables.flows_by_key:
+        tables.flows_by_key[chain.flow] = FlowRecord(
+            chain.service, chain.backend_id, is_primary=False
+        )
+    rest = RecordChain(
+        chain.epoch,
+        chain.flow,
+        chain.service,
+        chain.backend_id,
+        chain.owners[1:],
+    )
+    pass_chain(tables, rest, outbox)
+
+
+def end_flow(tables: BalancerTables, flow: bytes, outbox: Outbox) -> None:
+    """Forget a flow here and at its other owners."""
+    forget_flow(tables, flow)
+    for owner in owners_for(tables, flow):
+        if owner != tables.instance_id:
+            outbox.append(ToPeer(owner, FlowClosed(flow)))
+
+
+def forget_flow(tables: BalancerTables, flow: bytes) -> None:
+    """Drop a flow's record and its share of the server's flows."""
+    record = tables.flows_by_key.pop(flow, None)
+    if record is None or not record.is_primary:
+        return
+    known = tables.backends_by_id.get(record.backend_id)
+    if known is not None:
+        known.held_flows = max(known.held_flows - 1, 0)
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -1,5 +1,6 @@
 """All state of one balancer."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -19,6 +20,9 @@
         Service name by the last six bytes of a flow key; follows ``routing``.
     counters
         Decisions by ``(service, outcome)``.
+    lease_until
+        Reading of the local monotonic clock, in seconds, up to which this
+        balancer may act as an owner.
     """
 
     instance_id: str
@@ -31,4 +35,5 @@
     requests_by_id: dict[bytes, RequestRecord] = field(default_factory=dict)
     owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
+    lease_until: float = math.inf
     stopping: bool = False
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -3,8 +3,9 @@
 import random
 
 from mustardhold.systems.addresses import pack_address
-from mustardhold.systems.affinity import owners_for, take_caller_packet
+from mustardhold.systems.affinity import take_caller_packet
 from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.ownership import owners_for
 from mustardhold.systems.peers import take_peer_message
 from mustardhold.systems.routing import install_table
 from mustardhold.tables.backends import BackendServer, BackendState
--- /dev/null
+++ b/tools/fakes/callers.py
@@ -0,0 +1,100 @@
+"""Fake callers: what each flow and request has seen."""
+
+from dataclasses import dataclass, field
+
+from mustardhold.tables.packets import (
+    Answer,
+    BackendPacket,
+    BalancerPacket,
+    CallerPacket,
+    Download,
+    FlowEnded,
+    NotRun,
+    Opened,
+    OpenRefused,
+    Request,
+    Unknown,
+)
+
+
+@dataclass(slots=True)
+class RequestSeen:
+    """What a caller saw of one request.
+
+    Attributes
+    ----------
+    outcomes
+        Every outcome that arrived, in order.
+    """
+
+    request: Request
+    parts: dict[int, bytes] = field(default_factory=dict)
+    outcomes: list[str] = field(default_factory=list)
+    foreign_answers: int = 0
+
+
+@dataclass(slots=True)
+class FlowSeen:
+    """What a caller saw of one flow.
+
+    Attributes
+    ----------
+    backend_ids
+        Servers that answered on this flow; more than one is a broken flow.
+    ended_at
+        Virtual time at which the flow was ended without its asking.
+    """
+
+    flow: bytes
+    service: str
+    opened_at: float | None = None
+    backend_ids: set[str] = field(default_factory=set)
+    refusals: list[str] = field(default_factory=list)
+    ended_at: float | None = None
+    closed: bool = False
+    downloads: int = 0
+    requests_by_id: dict[bytes, RequestSeen] = field(default_factory=dict)
+
+
+def note_packet(
+    seen: FlowSeen,
+    packet: CallerPacket | BackendPacket | BalancerPacket,
+    now: float,
+) -> None:
+    """Keep what a packet tells the caller."""
+    match packet:
+        case Opened(backend_id=backend_id):
+            seen.opened_at = now if seen.opened_at is None else seen.opened_at
+            seen.backend_ids.add(backend_id)
+        case Download(payload=payload):
+            seen.downloads += 1
+            seen.backend_ids.add(payload.decode())
+        case OpenRefused(reason=reason):
+            seen.refusals.append(reason)
+        case FlowEnded() if not seen.closed and seen.opened_at is not None:
+            seen.ended_at = now
+        case Answer() | NotRun() | Unknown():
+            note_outcome(seen, packet)
+
+
+def note_outcome(seen: FlowSeen, packet: Answer | NotRun | Unknown) -> None:
+    """Keep what a packet tells of a request."""
+    request = seen.requests_by_id.get(packet.request_id)
+    if request is None:
+        return
+    if isinstance(packet, NotRun):
+        request.outcomes.append('not-run')
+    elif isinstance(packet, Unknown):
+        request.outcomes.append('unknown')
+    else:
+        request.parts[packet.part] = packet.payload
+        request.foreign_answers += packet.payload != request.request.payload
+        if len(request.parts) == packet.parts:
+            request.outcomes.append('answered')
+
+
+def is_broken(seen: FlowSeen) -> bool:
+    """Tell whether an opened flow was ended or answered by two servers."""
+    if seen.opened_at is None:
+        return False
+    return seen.ended_at is not None or len(seen.backend_ids) > 1
--- a/tools/fakes/event_queue.py
+++ b/tools/fakes/event_queue.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-Action = Callable[[], None]
+Action = Callable[[], object]
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tools/fakes/fleet.py
@@ -0,0 +1,300 @@
+"""A group of balancers over a fake network, with fake callers and servers.
+
+The decisions are the product's own, or those of a naive version: both are
+passed in as plain functions. Time is virtual and every choice follows from
+the seed.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from mustardhold.adapters.packet_codec import encode_packet
+from mustardhold.adapters.peer_codec import encode_message
+from mustardhold.systems import affinity, peers
+from mustardhold.systems.addresses import pack_address
+from mustardhold.systems.announcements import take_announced
+from mustardhold.systems.routing import install_table
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import TICK
+from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
+from mustardhold.tables.packets import BackendPacket, CallerPacket
+from mustardhold.tables.peers import PeerMessage, RecordChain, Relay
+from mustardhold.tables.routing import Pool, Route, RoutingTable
+from mustardhold.tables.views import Member, View
+from tools.fakes.callers import FlowSeen, note_packet
+from tools.fakes.event_queue import (
+    Action,
+    EventQueue,
+    make_queue,
+    schedule_every,
+)
+from tools.fakes.network import Network, send
+from tools.fakes.servers import FakeServer, serve_packet
+
+FABRIC = 'fabric'
+DATA_MESSAGES = (Relay, RecordChain)
+
+
+@dataclass(frozen=True, slots=True)
+class Logic:
+    """The decisions of a balancer."""
+
+    take_caller_packet: Callable[
+        [BalancerTables, float, CallerPacket, Outbox], None
+    ]
+    take_backend_packet: Callable[[BalancerTables, BackendPacket, Outbox], None]
+    take_peer_message: Callable[
+        [BalancerTables, float, PeerMessage, Outbox], None
+    ]
+    tick: Callable[[BalancerTables, float, Outbox], None]
+
+
+PRODUCT = Logic(
+    affinity.take_caller_packet,
+    affinity.take_backend_packet,
+    peers.take_peer_message,
+    peers.tick,
+)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Everything that takes part in a run.
+
+    Attributes
+    ----------
+    spray
+        Balancers that the fabric hands packets to.
+    backlog_by_frozen
+        What waits in the socket buffers of frozen balancers.
+    bytes_by_message
+        Bytes sent by ``(balancer, message type)``.
+    """
+
+    queue: EventQueue
+    network: Network
+    logic: Logic
+    address_by_service: Mapping[str, str]
+    balancers_by_id: dict[str, BalancerTables] = field(default_factory=dict)
+    spray: list[str] = field(default_factory=list)
+    servers_by_id: dict[str, FakeServer] = field(default_factory=dict)
+    flows_by_key: dict[bytes, FlowSeen] = field(default_factory=dict)
+    backlog_by_frozen: dict[str, list[Action]] = field(default_factory=dict)
+    bytes_by_message: Counter[tuple[str, str]] = field(default_factory=Counter)
+    packets: int = 0
+    relayed: int = 0
+
+
+def make_fleet(
+    seed: int,
+    logic: Logic,
+    balancer_ids: tuple[str, ...],
+    servers: tuple[FakeServer, ...],
+    data_centre: str = 'dc-1',
+) -> Fleet:
+    """Make balancers that know each other, and servers that announce.
+
+    Each pool of the servers gets a route at an address of its own.
+    """
+    queue = make_queue(seed)
+    services = sorted({server.pool for server in servers})
+    addresses = {
+        service: f'10.20.0.{number}:443'
+        for number, service in enumerate(services, start=1)
+    }
+    fleet = Fleet(queue, Network(queue), logic, addresses)
+    members = {
+        name: Member(name, data_centre, '127.0.0.1:1') for name in balancer_ids
+    }
+    for name in balancer_ids:
+        tables = BalancerTables(name, data_centre, View(1, members))
+        add_balancer(fleet, tables)
+    for server in servers:
+        add_server(fleet, server)
+    return fleet
+
+
+def routing_table(fleet: Fleet, version: int, *pools: Pool) -> RoutingTable:
+    """Make a table with a route for each service; pools default to all."""
+    routes = {
+        name: Route(name, (address,))
+        for name, address in fleet.address_by_service.items()
+    }
+    entries = {name: Pool(name) for name in fleet.address_by_service}
+    entries.update((pool.name, pool) for pool in pools)
+    return RoutingTable(version, routes, entries, {})
+
+
+def add_balancer(fleet: Fleet, tables: BalancerTables) -> None:
+    """Start a balancer and put it into the spray."""
+    name = tables.instance_id
+    fleet.balancers_by_id[name] = tables
+    fleet.network.down.discard(name)
+    fleet.spray.append(name)
+    install_table(tables, routing_table(fleet, 1))
+
+    def tick() -> None:
+        if fleet.balancers_by_id.get(name) is tables:
+            at_balancer(fleet, name, run_tick)
+
+    def run_tick() -> None:
+        outbox: Outbox = []
+        fleet.logic.tick(tables, fleet.queue.now, outbox)
+        dispatch(fleet, name, outbox)
+
+    schedule_every(fleet.queue, TICK.total_seconds(), tick)
+
+
+def add_server(fleet: Fleet, server: FakeServer) -> None:
+    """Start a server that announces itself to one balancer after another."""
+    fleet.servers_by_id[server.backend_id] = server
+
+    def announce() -> None:
+        if server.alive and fleet.spray:
+            receiver = fleet.queue.rng.choice(fleet.spray)
+            announced = server.announce()
+
+            def arrive() -> None:
+                tables = fleet.balancers_by_id[receiver]
+                outbox: Outbox = []
+                take_announced(tables, fleet.queue.now, announced, outbox)
+                dispatch(fleet, receiver, outbox)
+
+            send(
+                fleet.network,
+                server.backend_id,
+                receiver,
+                lambda: at_balancer(fleet, receiver, arrive),
+            )
+
+    announce()
+    schedule_every(fleet.queue, server.announce_seconds, announce)
+
+
+def kill(fleet: Fleet, name: str) -> None:
+    """End a balancer at once; the fabric stops handing it packets."""
+    fleet.balancers_by_id.pop(name)
+    fleet.network.down.add(name)
+    fleet.spray.remove(name)
+
+
+def freeze(fleet: Fleet, name: str) -> None:
+    """Stop a balancer's clockwork; what arrives waits in its buffers."""
+    fleet.backlog_by_frozen[name] = []
+
+
+def thaw(fleet: Fleet, name: str) -> None:
+    """Let a frozen balancer go on with what waits for it."""
+    for action in fleet.backlog_by_frozen.pop(name):
+        action()
+
+
+def at_balancer(fleet: Fleet, name: str, action: Action) -> None:
+    """Run an action at a balancer that lives, once it is not frozen."""
+    backlog = fleet.backlog_by_frozen.get(name)
+    if backlog is not None:
+        backlog.append(action)
+    elif name in fleet.balancers_by_id:
+        action()
+
+
+def spray(
+    fleet: Fleet, sender: str, packet: CallerPacket | BackendPacket
+) -> None:
+    """Hand a packet to any balancer of the spray."""
+    if not fleet.spray:
+        return
+    name = fleet.queue.rng.choice(fleet.spray)
+
+    def take() -> None:
+        tables = fleet.balancers_by_id[name]
+        outbox: Outbox = []
+        if isinstance(packet, CallerPacket):
+            fleet.packets += 1
+            now = fleet.queue.now
+            fleet.logic.take_caller_packet(tables, now, packet, outbox)
+        else:
+            fleet.logic.take_backend_packet(tables, packet, outbox)
+        dispatch(fleet, name, outbox)
+
+    send(fleet.network, sender, name, lambda: at_balancer(fleet, name, take))
+
+
+def dispatch(fleet: Fleet, sender: str, outbox: Outbox) -> None:
+    """Send what a balancer decided to send."""
+    for one in outbox:
+        if isinstance(one, ToPeer):
+            send_to_peer(fleet, sender, one)
+        elif isinstance(one, ToBackend):
+            send_to_server(fleet, sender, one)
+        else:
+            packet = one.packet
+            seen = fleet.flows_by_key.get(packet.flow)
+            if seen is not None:
+                note_packet(seen, packet, fleet.queue.now)
+
+
+def send_to_peer(fleet: Fleet, sender: str, one: ToPeer) -> None:
+    """Send a message between balancers and count its bytes."""
+    message = one.message
+    kind = type(message).__name__
+    fleet.bytes_by_message[sender, kind] += len(encode_message(message))
+    fleet.relayed += isinstance(message, Relay)
+
+    def take() -> None:
+        tables = fleet.balancers_by_id[one.instance_id]
+        outbox: Outbox = []
+        now = fleet.queue.now
+        fleet.logic.take_peer_message(tables, now, message, outbox)
+        dispatch(fleet, one.instance_id, outbox)
+
+    receiver = one.instance_id
+    send(
+        fleet.network,
+        sender,
+        receiver,
+        lambda: at_balancer(fleet, receiver, take),
+    )
+
+
+def send_to_server(fleet: Fleet, sender: str, one: ToBackend) -> None:
+    """Send a packet to the server at an address."""
+    server = next(
+        server
+        for server in fleet.servers_by_id.values()
+        if server.address == one.address
+    )
+
+    def take() -> None:
+        if server.alive:
+            serve_packet(
+                fleet.queue,
+                server,
+                one.packet,
+                lambda packet: spray(fleet, server.backend_id, packet),
+            )
+
+    send(fleet.network, sender, server.backend_id, take)
+
+
+def control_bytes(fleet: Fleet, name: str) -> int:
+    """Count a balancer's bytes that do not carry a caller's packet."""
+    data = {kind.__name__ for kind in DATA_MESSAGES}
+    return sum(
+        count
+        for (sender, kind), count in fleet.bytes_by_message.items()
+        if sender == name and kind not in data
+    )
+
+
+def flow_key(number: int, service_address: str) -> bytes:
+    """Make the key of a caller's flow to a service."""
+    host = f'10.{number >> 24 & 255}.{number >> 16 & 255}.9'
+    caller = pack_address(f'{host}:{number & 0xFFFF}')
+    return caller + pack_address(service_address)
+
+
+def packet_bytes(packet: CallerPacket) -> int:
+    """Count the bytes of a packet at the edge."""
+    return len(encode_packet(packet))
--- /dev/null
+++ b/tools/fakes/traffic.py
@@ -0,0 +1,192 @@
+"""Seeded traffic of fake callers over a fleet."""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from mustardhold.tables.packets import Close, Open, Request, Upload
+from tools.fakes.callers import FlowSeen, RequestSeen, is_broken
+from tools.fakes.event_queue import run_until, schedule, schedule_every
+from tools.fakes.fleet import Fleet, flow_key, spray
+
+REQUEST_ID_BYTES = 16
+OPEN_RETRY_SECONDS = 0.25
+OPEN_TRIES = 40
+PROBES = 12
+PROBE_SECONDS = 0.25
+CALLER = 'caller'
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Shape of the traffic to one service.
+
+    Attributes
+    ----------
+    openings_per_second
+        New flows a second.
+    flow_seconds
+        Mean life of a flow, exponentially distributed.
+    upload_seconds
+        Time between two uploads of a flow.
+    request_seconds
+        Time between two requests of a flow; 0 for none.
+    """
+
+    service: str
+    openings_per_second: float = 20
+    flow_seconds: float = 20
+    upload_seconds: float = 1
+    request_seconds: float = 0
+    idempotent_share: float = 0.5
+    deadline_ms: int = 2000
+
+
+@dataclass(slots=True)
+class FlowNumbers:
+    """Numbers from which flow keys are made, each used once."""
+
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+
+def start_traffic(
+    fleet: Fleet, traffic: Traffic, until: float, numbers: FlowNumbers
+) -> None:
+    """Open flows up to a virtual time."""
+    rng = fleet.queue.rng
+
+    def open_next() -> None:
+        if fleet.queue.now >= until:
+            return
+        key = flow_key(
+            next(numbers.numbers), fleet.address_by_service[traffic.service]
+        )
+        start_flow(fleet, traffic, key)
+        schedule(
+            fleet.queue,
+            rng.expovariate(traffic.openings_per_second),
+            open_next,
+        )
+
+    schedule(fleet.queue, 0, open_next)
+
+
+def start_flow(fleet: Fleet, traffic: Traffic, key: bytes) -> FlowSeen:
+    """Open a flow, use it, and close it at the end of its life."""
+    seen = FlowSeen(key, traffic.service)
+    fleet.flows_by_key[key] = seen
+    rng = fleet.queue.rng
+    open_with_retries(fleet, seen, OPEN_TRIES)
+    life = rng.expovariate(1 / traffic.flow_seconds)
+    schedule(fleet.queue, life, lambda: close_flow(fleet, seen))
+    use_flow(fleet, seen, traffic)
+    return seen
+
+
+def open_with_retries(fleet: Fleet, seen: FlowSeen, tries: int) -> None:
+    """Send an opening again until it is answered."""
+    if tries == 0 or seen.opened_at is not None or seen.closed:
+        return
+    spray(fleet, CALLER, Open(seen.flow))
+    schedule(
+        fleet.queue,
+        OPEN_RETRY_SECONDS,
+        lambda: open_with_retries(fleet, seen, tries - 1),
+    )
+
+
+def use_flow(fleet: Fleet, seen: FlowSeen, traffic: Traffic) -> None:
+    """Send uploads and requests while a flow is open."""
+
+    def upload() -> None:
+        if is_usable(seen):
+            spray(fleet, CALLER, Upload(seen.flow, b''))
+        if not seen.closed:
+            schedule(fleet.queue, traffic.upload_seconds, upload)
+
+    def ask() -> None:
+        if is_usable(seen):
+            send_request(fleet, seen, traffic)
+        if not seen.closed:
+            schedule(fleet.queue, traffic.request_seconds, ask)
+
+    offset = fleet.queue.rng.uniform(0, 1)
+    schedule(fleet.queue, offset * traffic.upload_seconds, upload)
+    if traffic.request_seconds:
+        schedule(fleet.queue, offset * traffic.request_seconds, ask)
+
+
+def is_usable(seen: FlowSeen) -> bool:
+    """Tell whether a flow is open as far as its caller knows."""
+    is_open = seen.opened_at is not None and seen.ended_at is None
+    return is_open and not seen.closed
+
+
+def send_request(fleet: Fleet, seen: FlowSeen, traffic: Traffic) -> RequestSeen:
+    """Send a request with an id of its own."""
+    rng = fleet.queue.rng
+    request_id = rng.randbytes(REQUEST_ID_BYTES)
+    packet = Request(
+        seen.flow,
+        request_id,
+        rng.random() < traffic.idempotent_share,
+        traffic.deadline_ms,
+        request_id,
+    )
+    request = RequestSeen(packet)
+    seen.requests_by_id[request_id] = request
+    spray(fleet, CALLER, packet)
+    return request
+
+
+def close_flow(fleet: Fleet, seen: FlowSeen) -> None:
+    """End a flow from the caller's side."""
+    if not seen.closed:
+        seen.closed = True
+        spray(fleet, CALLER, Close(seen.flow))
+
+
+def probe_open_flows(fleet: Fleet) -> list[FlowSeen]:
+    """Upload on every open flow and find those that stay silent."""
+    usable = [seen for seen in fleet.flows_by_key.values() if is_usable(seen)]
+    before = {seen.flow: seen.downloads for seen in usable}
+
+    def probe() -> None:
+        for seen in usable:
+            if is_usable(seen) and seen.downloads == before[seen.flow]:
+                spray(fleet, CALLER, Upload(seen.flow, b''))
+
+    for number in range(PROBES):
+        schedule(fleet.queue, number * PROBE_SECONDS, probe)
+    run_until(fleet.queue, fleet.queue.now + (PROBES + 1) * PROBE_SECONDS)
+    return [
+        seen
+        for seen in usable
+        if is_usable(seen) and seen.downloads == before[seen.flow]
+    ]
+
+
+def broken_flows(fleet: Fleet) -> list[FlowSeen]:
+    """Find the flows that broke although their server lived on."""
+    dead = {
+        server.backend_id
+        for server in fleet.servers_by_id.values()
+        if not server.alive
+    }
+    silent = probe_open_flows(fleet)
+    broken = [seen for seen in fleet.flows_by_key.values() if is_broken(seen)]
+    found = (*broken, *silent)
+    return [seen for seen in found if not seen.backend_ids <= dead]
+
+
+def sample_every(fleet: Fleet, period: float, sample: list[object]) -> None:
+    """Keep the number of flows at each server, period after period."""
+
+    def take() -> None:
+        counts = {
+            server.backend_id: len(server.flows)
+            for server in fleet.servers_by_id.values()
+        }
+        sample.append((fleet.queue.now, counts))
+
+    schedule_every(fleet.queue, period, take)
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -16,7 +16,7 @@
 def run_proof(proof: Proof, seeds: int, *, naive: bool) -> bool:
     """Run a proof over its seeds and print what was seen."""
     for seed in range(FIRST_SEED, FIRST_SEED + seeds):
-        violations = proof.run(seed, naive)
+        violations = proof.run(seed, naive=naive)
         for violation in violations:
             print(
                 f'{proof.name}: broken with seed {seed}: '
--- a/tools/registry.py
+++ b/tools/registry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from types import ModuleType
+from typing import Protocol
 
 from tools import measurements, proofs
 
@@ -25,6 +26,13 @@
     seen: str
 
 
+class RunProof(Protocol):
+    """Runs one seed of a proof and returns what was seen broken."""
+
+    def __call__(self, seed: int, *, naive: bool) -> list[Violation]:
+        """Run the product, or the naive version."""
+
+
 @dataclass(frozen=True, slots=True)
 class Proof:
     """One promise under failure.
@@ -42,7 +50,7 @@
 
     name: str
     promise: str
-    run: Callable[[int, bool], list[Violation]]
+    run: RunProof
     seeds: int = 200
     ci_seeds: int = 10
 
