--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -6,6 +6,7 @@
 
 from mustardhold.tables.backends import KnownBackend
 from mustardhold.tables.flows import FlowRecord, RequestRecord
+from mustardhold.tables.placement import BucketReport, PlacementSet
 from mustardhold.tables.routing import RoutingTable, empty_table
 from mustardhold.tables.views import View
 
@@ -20,6 +21,8 @@
         Service name by the last six bytes of a flow key; follows ``routing``.
     counters
         Decisions by ``(service, outcome)``.
+    reports_by_member
+        Latest bucket reports; kept by the coordinator of the group.
     lease_until
         Reading of the local monotonic clock, in seconds, up to which this
         balancer may act as an owner.
@@ -35,5 +38,9 @@
     requests_by_id: dict[bytes, RequestRecord] = field(default_factory=dict)
     owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
+    placements: PlacementSet = field(default_factory=PlacementSet)
+    reports_by_member: dict[str, tuple[BucketReport, ...]] = field(
+        default_factory=dict
+    )
     lease_until: float = math.inf
     stopping: bool = False
--- /dev/null
+++ b/src/mustardhold/tables/placement.py
@@ -0,0 +1,52 @@
+"""Which backend server holds the flows of each bucket.
+
+A bucket is settled when every flow in it is at its base server; then any
+balancer sends its packets there without a record. A bucket that moves has
+records at its owners; there, a flow without a record is at the base.
+"""
+
+import msgspec
+
+
+class Placement(msgspec.Struct, frozen=True):
+    """The buckets of one pool.
+
+    Attributes
+    ----------
+    bases
+        Id of the base server of each bucket, in the order of the buckets.
+    moving
+        Buckets whose packets go through their owners.
+    opened_elsewhere
+        Moving buckets whose openings may go to other servers than the base;
+        set once every member with a live lease knows that they move.
+    """
+
+    pool: str
+    bases: tuple[str, ...]
+    moving: frozenset[int]
+    opened_elsewhere: frozenset[int]
+
+
+class PlacementSet(msgspec.Struct, frozen=True):
+    """One version of the placements of all pools.
+
+    A pool without a placement has no base servers: all its buckets move.
+    """
+
+    version: int = 0
+    placements_by_pool: dict[str, Placement] = {}
+
+
+class BucketReport(msgspec.Struct, frozen=True):
+    """What the primary owner of a moving bucket tells the coordinator.
+
+    Attributes
+    ----------
+    elsewhere
+        Recorded flows that are not at the bucket's base.
+    """
+
+    pool: str
+    bucket: int
+    elsewhere: int
