Pass non-idempotent requests along their owners; end each in one outcome

Cause: a request id was recorded at the primary owner alone, so a resent id could run again after a change of owners; requests without an answer ended in silence; a shed request was refused by whichever balancer saw it.

Change: a non-idempotent request and every refusal pass all owners of the bucket before the last one acts; any owner that knows the id from an earlier epoch stops it. Windows for each server with bounded queues, deadline timers on one heap, retries under a budget, and batched notes of answers seen.

--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,9 +1,14 @@
 """The way of a packet: every packet of a flow goes through its owner."""
 
+from mustardhold.systems.answers import take_answer, take_shed
 from mustardhold.systems.opening import open_flow
 from mustardhold.systems.ownership import is_lease_live, owners_for
 from mustardhold.systems.records import end_flow
-from mustardhold.systems.requests import forward_request, note_answer
+from mustardhold.systems.requests import (
+    answer_without_lease,
+    take_cancel,
+    take_request,
+)
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import RELAY_HOPS
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
@@ -11,9 +16,9 @@
     Answer,
     BackendPacket,
     CallerPacket,
+    Cancel,
     Close,
     FlowEnded,
-    NotRun,
     Open,
     Request,
     Shed,
@@ -33,6 +38,8 @@
     if owners[0] == tables.instance_id:
         if not is_lease_live(tables, now):
             tables.counters['', 'lease-expired'] += 1
+            if isinstance(packet, Request):
+                answer_without_lease(tables, packet, outbox)
             return
         decide_as_owner(tables, now, packet, owners, outbox)
     elif hops < RELAY_HOPS:
@@ -54,42 +61,31 @@
     if isinstance(packet, Open):
         open_flow(tables, packet, record, owners, outbox)
         return
-    if record is None:
-        refuse_unowned(tables, packet, outbox)
+    known = tables.backends_by_id.get(record.backend_id) if record else None
+    if isinstance(packet, Request):
+        take_request(tables, now, packet, known, outbox)
         return
-    known = tables.backends_by_id.get(record.backend_id)
     if known is None:
-        refuse_unowned(tables, packet, outbox)
+        tables.counters['', 'no-record'] += 1
+        outbox.append(ToCaller(FlowEnded(packet.flow)))
         return
-    if isinstance(packet, Request):
-        forward_request(tables, now, packet, known, outbox)
+    if isinstance(packet, Cancel):
+        take_cancel(tables, now, packet, known, outbox)
         return
     outbox.append(ToBackend(known.announced.address, packet))
     if isinstance(packet, Close):
         end_flow(tables, packet.flow, outbox)
 
 
-def refuse_unowned(
-    tables: BalancerTables, packet: CallerPacket, outbox: Outbox
-) -> None:
-    """Answer a packet whose flow has no record; it was not forwarded."""
-    tables.counters['', 'no-record'] += 1
-    if isinstance(packet, Request):
-        outbox.append(
-            ToCaller(NotRun(packet.flow, packet.request_id, 'no-flow'))
-        )
-    else:
-        outbox.append(ToCaller(FlowEnded(packet.flow)))
-
-
 def take_backend_packet(
     tables: BalancerTables, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Pass a server's packet to the caller that its flow key names."""
-    if isinstance(packet, Answer | Shed):
-        note_answer(tables, packet)
+    if isinstance(packet, Answer):
+        take_answer(tables, packet, outbox)
+        return
     if isinstance(packet, Shed):
-        outbox.append(ToCaller(NotRun(packet.flow, packet.request_id, 'shed')))
+        take_shed(tables, packet, outbox)
         return
     if isinstance(packet, FlowEnded):
         end_flow(tables, packet.flow, outbox)
--- /dev/null
+++ b/src/mustardhold/systems/request_records.py
@@ -0,0 +1,131 @@
+"""Records of requests: made within limits, found by key, forgotten in time."""
+
+import heapq
+
+import xxhash
+
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import (
+    IDEMPOTENT_RECORD_MARGIN,
+    MAX_REQUEST_DEADLINE,
+    MAX_REQUEST_RECORDS,
+    REQUEST_RECORD_LIFETIME,
+    REQUEST_TELL_MARGIN,
+)
+from mustardhold.tables.outbox import Outbox, ToCaller
+from mustardhold.tables.packets import NotRun, Request, Unknown
+from mustardhold.tables.requests import Due, RequestRecord
+
+MS_PER_SECOND = 1000
+
+
+def request_key(flow: bytes, request_id: bytes) -> bytes:
+    """Make the eight-byte key of a request; callers may choose equal ids."""
+    return xxhash.xxh3_64_digest(flow + request_id)
+
+
+def service_share(tables: BalancerTables) -> int:
+    """Count the records that each service may hold, whatever others do."""
+    return MAX_REQUEST_RECORDS // max(len(tables.routing.pools_by_name), 1)
+
+
+def add_record(
+    tables: BalancerTables, key: bytes, record: RequestRecord
+) -> bool:
+    """Store a new record with its timers, unless its service's share is full.
+
+    Returns
+    -------
+    bool
+        Whether the record was stored.
+    """
+    requests = tables.requests
+    if requests.records_by_service[record.service] >= service_share(tables):
+        tables.counters[record.service, 'request-table-full'] += 1
+        return False
+    requests.records_by_key[key] = record
+    requests.records_by_service[record.service] += 1
+    add_timer(tables, tell_at(record), key, Due.DEADLINE)
+    add_timer(tables, forget_at(record), key, Due.FORGET)
+    return True
+
+
+def make_record(
+    now: float, packet: Request, service: str, backend_id: str, epoch: int
+) -> RequestRecord:
+    """Make the record of a request that has just arrived."""
+    longest = MAX_REQUEST_DEADLINE.total_seconds()
+    return RequestRecord(
+        packet.flow,
+        packet.request_id,
+        service,
+        backend_id,
+        packet.idempotent,
+        epoch,
+        received_at=now,
+        deadline_at=now + min(packet.deadline_ms / MS_PER_SECOND, longest),
+    )
+
+
+def tell_at(record: RequestRecord) -> float:
+    """Choose when to tell an outcome, so that it arrives by the deadline."""
+    left = record.deadline_at - record.received_at
+    margin = min(REQUEST_TELL_MARGIN.total_seconds(), left / 2)
+    return record.deadline_at - margin
+
+
+def forget_at(record: RequestRecord) -> float:
+    """Choose when no caller can still repeat a request."""
+    if record.idempotent:
+        margin = IDEMPOTENT_RECORD_MARGIN.total_seconds()
+        return record.deadline_at + margin
+    return record.received_at + REQUEST_RECORD_LIFETIME.total_seconds()
+
+
+def add_timer(
+    tables: BalancerTables, due: float, key: bytes, what: Due
+) -> None:
+    """Set a timer of a request."""
+    heapq.heappush(tables.requests.timers, (due, key, what))
+
+
+def forget_record(tables: BalancerTables, now: float, key: bytes) -> None:
+    """Drop a record at the end of its life."""
+    requests = tables.requests
+    record = requests.records_by_key.get(key)
+    if record is None or now < forget_at(record):
+        return
+    requests.records_by_key.pop(key)
+    requests.records_by_service[record.service] -= 1
+
+
+def remaining_packet(
+    packet: Request, deadline_at: float, now: float
+) -> Request:
+    """Copy a request with the time that is left to its deadline."""
+    left = max(deadline_at - now, 0)
+    return Request(
+        packet.flow,
+        packet.request_id,
+        packet.idempotent,
+        int(left * MS_PER_SECOND),
+        packet.payload,
+    )
+
+
+def tell_not_run(
+    tables: BalancerTables, record: RequestRecord, outbox: Outbox
+) -> None:
+    """Tell a caller that its request was certainly not run."""
+    tables.counters[record.service, f'not-run-{record.refusal}'] += 1
+    outbox.append(
+        ToCaller(NotRun(record.flow, record.request_id, record.refusal))
+    )
+
+
+def tell_unknown(
+    tables: BalancerTables, record: RequestRecord, reason: str, outbox: Outbox
+) -> None:
+    """Tell a caller that its request's outcome cannot be told."""
+    tables.counters[record.service, f'unknown-{reason}'] += 1
+    outbox.append(ToCaller(Unknown(record.flow, record.request_id, reason)))
--- /dev/null
+++ b/src/mustardhold/systems/retries.py
@@ -0,0 +1,52 @@
+"""Retries of idempotent requests: budget, and backoff with jitter."""
+
+import math
+
+import xxhash
+
+from mustardhold.systems.request_records import add_timer, tell_at
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import (
+    MAX_RETRY_TOKENS,
+    RETRIES_PER_SUCCESS,
+    RETRY_FIRST_WAIT,
+)
+from mustardhold.tables.requests import Due, RequestRecord
+
+JITTER_STEPS = 1024
+
+
+def add_success(tables: BalancerTables, service: str) -> None:
+    """Add a share of a success to a service's retry budget."""
+    tokens_by_service = tables.requests.retry_tokens_by_service
+    tokens = tokens_by_service.get(service, MAX_RETRY_TOKENS)
+    tokens_by_service[service] = min(
+        tokens + RETRIES_PER_SUCCESS, MAX_RETRY_TOKENS
+    )
+
+
+def take_retry(tables: BalancerTables, service: str) -> bool:
+    """Take one retry from a service's budget, if it has one left."""
+    tokens_by_service = tables.requests.retry_tokens_by_service
+    tokens = tokens_by_service.get(service, MAX_RETRY_TOKENS)
+    if tokens < 1:
+        tables.counters[service, 'retry-budget-empty'] += 1
+        return False
+    tokens_by_service[service] = tokens - 1
+    return True
+
+
+def backoff_seconds(key: bytes, forwards: int) -> float:
+    """Wait twice as long after each attempt, with jitter from the key."""
+    longest = math.ldexp(RETRY_FIRST_WAIT.total_seconds(), forwards - 1)
+    number = xxhash.xxh3_64_intdigest(key, seed=forwards) % JITTER_STEPS
+    return longest * (1 + number / JITTER_STEPS) / 2
+
+
+def schedule_retry(
+    tables: BalancerTables, now: float, key: bytes, record: RequestRecord
+) -> None:
+    """Set the timer of the next attempt, where it fits the deadline."""
+    due = now + backoff_seconds(key, record.forwards)
+    if due < tell_at(record):
+        add_timer(tables, due, key, Due.RETRY)
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 
 from mustardhold.tables.backends import KnownBackend
-from mustardhold.tables.flows import FlowRecord, RequestRecord
+from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.placement import BucketReport, PlacementSet
+from mustardhold.tables.requests import RequestTables
 from mustardhold.tables.routing import RoutingTable, empty_table
 from mustardhold.tables.views import View
 
@@ -35,7 +36,7 @@
     service_by_address: dict[bytes, str] = field(default_factory=dict)
     backends_by_id: dict[str, KnownBackend] = field(default_factory=dict)
     flows_by_key: dict[bytes, FlowRecord] = field(default_factory=dict)
-    requests_by_id: dict[bytes, RequestRecord] = field(default_factory=dict)
+    requests: RequestTables = field(default_factory=RequestTables)
     owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
     placements: PlacementSet = field(default_factory=PlacementSet)
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -9,6 +9,8 @@
 MAX_HOLD_PACKETS: Final = 4096
 MAX_FLOW_RECORDS: Final = 400_000
 MAX_REQUEST_RECORDS: Final = 100_000
+MAX_WAITING_REQUESTS: Final = 256
+MAX_SEEN_BYTES: Final = 1200
 MAX_BACKEND_SERVERS: Final = 4096
 MAX_TABLE_ENTRIES: Final = 40_000
 
@@ -21,5 +23,14 @@
 ANNOUNCE_INTERVAL: Final = timedelta(milliseconds=500)
 ANNOUNCE_LIFETIME: Final = timedelta(seconds=3)
 REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
+IDEMPOTENT_RECORD_MARGIN: Final = timedelta(seconds=10)
+MAX_REQUEST_DEADLINE: Final = timedelta(seconds=60)
+TOLD_LATE_AT_MOST: Final = timedelta(seconds=1)
 LONG_POLL: Final = timedelta(seconds=5)
 STOP_BOUND: Final = timedelta(seconds=10)
+REQUEST_TELL_MARGIN: Final = timedelta(milliseconds=150)
+RETRY_FIRST_WAIT: Final = timedelta(milliseconds=250)
+RETRIES_PER_SUCCESS: Final = 0.1
+MAX_RETRY_TOKENS: Final = 10.0
+IN_FLIGHT_PER_SLOT: Final = 16
+SHED_WINDOW_FACTOR: Final = 0.5
--- a/src/mustardhold/tables/flows.py
+++ b/src/mustardhold/tables/flows.py
@@ -1,4 +1,4 @@
-"""Records of flows and requests at the owners of their bucket."""
+"""Records of flows at the owners of their bucket."""
 
 import msgspec
 
@@ -15,19 +15,3 @@
     service: str
     backend_id: str
     is_primary: bool
-
-
-class RequestRecord(msgspec.Struct):
-    """A request that was forwarded.
-
-    Attributes
-    ----------
-    forwarded_at
-        Reading of the local monotonic clock, in seconds.
-    """
-
-    flow: bytes
-    backend_id: str
-    idempotent: bool
-    forwarded_at: float
-    answered: bool = False
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from mustardhold.tables.backends import BackendServer
-from mustardhold.tables.packets import FlowKey, Packet
+from mustardhold.tables.packets import FlowKey, Packet, Request
 
 
 class Relay(msgspec.Struct, array_like=True, tag=30, frozen=True):
@@ -54,4 +54,48 @@
     backend: BackendServer
 
 
-PeerMessage = Relay | RecordChain | FlowClosed | BackendShared
+class RequestChain(msgspec.Struct, array_like=True, tag=60, frozen=True):
+    """A request, passed along its owners before it takes effect.
+
+    The last owner forwards the request to the backend server, or tells the
+    caller that it was not run.
+
+    Attributes
+    ----------
+    refusal
+        Why the request is not run; empty to forward it.
+    is_vouched
+        Whether an owner so far knows every earlier request of the bucket.
+    owners
+        Owners that have not stored the request yet, in order.
+    """
+
+    epoch: int
+    packet: Request
+    service: str
+    backend_id: str
+    refusal: str
+    is_vouched: bool
+    owners: tuple[str, ...]
+
+
+class AnswersSeen(msgspec.Struct, array_like=True, tag=61, frozen=True):
+    """Tells a primary owner which answers have reached their callers.
+
+    Attributes
+    ----------
+    entries
+        Entries of a fixed size, see ``systems/answers.py``.
+    """
+
+    entries: bytes
+
+
+PeerMessage = (
+    Relay
+    | RecordChain
+    | FlowClosed
+    | BackendShared
+    | RequestChain
+    | AnswersSeen
+)
--- /dev/null
+++ b/src/mustardhold/tables/requests.py
@@ -0,0 +1,141 @@
+"""Requests at the owners of their flow's bucket."""
+
+import math
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+from mustardhold.tables.packets import Request
+
+
+class RequestState(StrEnum):
+    """How far a request has come at one owner.
+
+    A request that ``ENDED`` has had its outcome told, or its whole answer.
+    """
+
+    WAITING = 'waiting'
+    SENT = 'sent'
+    REFUSED = 'refused'
+    ENDED = 'ended'
+
+
+class Due(StrEnum):
+    """What a timer of a request is for."""
+
+    DEADLINE = 'deadline'
+    FORGET = 'forget'
+    RETRY = 'retry'
+
+
+class RequestRecord(msgspec.Struct):
+    """A request that was admitted or refused, or passed through as an owner.
+
+    Attributes
+    ----------
+    epoch
+        Epoch of the view in which this owner first saw the request.
+    packet
+        The request itself while it may still be sent; none afterwards.
+    received_at, deadline_at
+        Readings of the local monotonic clock, in seconds.
+    is_primary
+        Whether this balancer admitted the request and tells its outcome.
+    is_certain
+        Whether no earlier sending of an idempotent request can be unknown.
+    is_concluded
+        Whether this owner, as the last of the chain, has acted on it.
+    holds_slot
+        Whether the request counts as in flight at its server.
+    forwards, sheds
+        Number of times it was sent to its server, and refused there.
+    parts_seen
+        Bits of the parts of its answer that were passed to the caller.
+    """
+
+    flow: bytes
+    request_id: bytes
+    service: str
+    backend_id: str
+    idempotent: bool
+    epoch: int
+    received_at: float
+    deadline_at: float
+    packet: Request | None = None
+    state: RequestState = RequestState.SENT
+    refusal: str = ''
+    is_primary: bool = False
+    is_certain: bool = False
+    is_concluded: bool = False
+    holds_slot: bool = False
+    forwards: int = 0
+    sheds: int = 0
+    parts_seen: int = 0
+
+
+@dataclass(slots=True)
+class Window:
+    """Requests of this owner at one backend server.
+
+    Attributes
+    ----------
+    limit
+        Requests in flight at most; falls when the server sheds.
+    bookings, reads
+        Keys of the non-idempotent and the idempotent requests that wait.
+    """
+
+    limit: float
+    in_flight: int = 0
+    bookings: deque[bytes] = field(default_factory=deque)
+    reads: deque[bytes] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class OwnerHistory:
+    """Since when this balancer has known every request of a bucket.
+
+    Attributes
+    ----------
+    epoch
+        Epoch of the view that the history has taken in; none at the start.
+    lease_until
+        Latest lease seen in that epoch, as a local monotonic reading.
+    owner_since, primary_since
+        Local monotonic readings by bucket.
+    """
+
+    epoch: int | None = None
+    lease_until: float = -math.inf
+    owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    owner_since: dict[int, float] = field(default_factory=dict)
+    primary_since: dict[int, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class RequestTables:
+    """All state about requests of one balancer.
+
+    Attributes
+    ----------
+    timers
+        Heap of ``(due, key, what for)``.
+    ready
+        Servers with a free place in their window and requests that wait.
+    retry_tokens_by_service
+        Retries that the budget of a service allows now.
+    seen_by_owner
+        Packed entries of answers seen here, for the primary owners.
+    """
+
+    records_by_key: dict[bytes, RequestRecord] = field(default_factory=dict)
+    records_by_service: Counter[str] = field(default_factory=Counter)
+    waiting_by_service: Counter[str] = field(default_factory=Counter)
+    timers: list[tuple[float, bytes, Due]] = field(default_factory=list)
+    windows_by_backend: dict[str, Window] = field(default_factory=dict)
+    ready: set[str] = field(default_factory=set)
+    retry_tokens_by_service: dict[str, float] = field(default_factory=dict)
+    seen_by_owner: dict[str, bytearray] = field(default_factory=dict)
+    history: OwnerHistory = field(default_factory=OwnerHistory)
