--- a/src/mustardhold/systems/completeness.py
+++ b/src/mustardhold/systems/completeness.py
@@ -1,15 +1,15 @@
 """Which buckets' earlier requests this balancer knows without a gap."""
 
-import math
-
 from mustardhold.systems.hashing import bucket_of, owners_of
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import (
     BUCKETS_PER_POOL,
     REQUEST_RECORD_LIFETIME,
 )
+from mustardhold.tables.requests import OwnerSpan
 
-FIRST_EPOCH = 1
+NO_EPOCH = 0
+FOUNDING_EPOCH = 1
 
 
 def note_view(tables: BalancerTables, now: float) -> None:
@@ -19,54 +19,56 @@
     between, so what it knew before counts no longer.
     """
     history = tables.requests.history
-    if history.epoch == tables.view.epoch:
-        history.lease_until = tables.lease_until
-        return
-    since = now
-    if history.epoch is None and tables.view.epoch <= FIRST_EPOCH:
-        since = -math.inf
-    is_continuous = history.epoch is not None and now < history.lease_until
-    members = tables.view.members_by_id
-    before = history.owners_by_bucket if is_continuous else {}
-    after = {
-        bucket: owners_of(bucket, members) for bucket in range(BUCKETS_PER_POOL)
-    }
+    epoch = tables.view.epoch
+    if history.epoch != epoch:
+        is_founding = not history.epoch and epoch <= FOUNDING_EPOCH
+        if now >= history.lease_until or history.epoch == NO_EPOCH:
+            history.spans_by_bucket.clear()
+            history.primary_since.clear()
+        for bucket in range(BUCKETS_PER_POOL):
+            note_owners(tables, now, bucket, is_founding=is_founding)
+        history.epoch = epoch
+    history.lease_until = tables.lease_until
+
+
+def note_owners(
+    tables: BalancerTables, now: float, bucket: int, *, is_founding: bool
+) -> None:
+    """Begin or end a span as owner of a bucket, as the view in force says."""
+    history = tables.requests.history
     name = tables.instance_id
-    history.owner_since = {
-        bucket: kept_since(history.owner_since, before, bucket, name, since)
-        for bucket, owners in after.items()
-        if name in owners
-    }
-    primaries = {bucket: owners[:1] for bucket, owners in before.items()}
-    history.primary_since = {
-        bucket: kept_since(
-            history.primary_since, primaries, bucket, name, since
+    owners = owners_of(bucket, tables.view.members_by_id)
+    span = history.spans_by_bucket.get(bucket)
+    if name not in owners:
+        if span is not None and span.until_epoch is None:
+            span.until_epoch = tables.view.epoch
+        history.primary_since.pop(bucket, None)
+        return
+    if span is None or span.until_epoch is not None:
+        history.spans_by_bucket[bucket] = OwnerSpan(
+            now, tables.view.epoch, is_complete=is_founding
         )
-        for bucket, owners in after.items()
-        if name == owners[0]
-    }
-    history.owners_by_bucket = after
-    history.epoch = tables.view.epoch
-    history.lease_until = tables.lease_until
+    if owners[0] != name:
+        history.primary_since.pop(bucket, None)
+        return
+    since = now
+    if is_founding:
+        since -= REQUEST_RECORD_LIFETIME.total_seconds()
+    history.primary_since.setdefault(bucket, since)
 
 
-def kept_since(
-    since: dict[int, float],
-    owners_before: dict[int, tuple[str, ...]],
-    bucket: int,
-    name: str,
-    now: float,
-) -> float:
-    """Find since when a bucket was owned, from now on if it was not."""
-    if name in owners_before.get(bucket, ()):
-        return since.get(bucket, now)
-    return now
+def is_span_complete(span: OwnerSpan, now: float) -> bool:
+    """Tell whether every request that still counts is known."""
+    lifetime = REQUEST_RECORD_LIFETIME.total_seconds()
+    return span.is_complete or now - span.since >= lifetime
 
 
 def is_complete(tables: BalancerTables, now: float, flow: bytes) -> bool:
     """Tell whether no request of the flow's bucket can be unknown here."""
-    since = tables.requests.history.owner_since.get(bucket_of(flow), now)
-    return now - since >= REQUEST_RECORD_LIFETIME.total_seconds()
+    span = tables.requests.history.spans_by_bucket.get(bucket_of(flow))
+    if span is None or span.until_epoch is not None:
+        return False
+    return is_span_complete(span, now)
 
 
 def is_complete_primary(
--- a/src/mustardhold/systems/deadlines.py
+++ b/src/mustardhold/systems/deadlines.py
@@ -18,6 +18,7 @@
     pump_windows,
     refuse_record,
 )
+from mustardhold.systems.request_handover import ask_for_requests
 from mustardhold.systems.request_records import (
     add_timer,
     forget_record,
@@ -41,6 +42,7 @@
         run_timer(tables, now, key, what, outbox)
     pump_windows(tables, now, outbox)
     flush_seen(tables, outbox)
+    ask_for_requests(tables, now, outbox)
     drop_idle_windows(tables)
 
 
--- a/src/mustardhold/systems/dispatch.py
+++ b/src/mustardhold/systems/dispatch.py
@@ -11,7 +11,12 @@
 from mustardhold.systems.completeness import is_complete, note_view
 from mustardhold.systems.ownership import is_lease_live, owners_for
 from mustardhold.systems.request_chain import pass_request
-from mustardhold.systems.request_records import remaining_packet, tell_unknown
+from mustardhold.systems.request_records import (
+    is_handed_over,
+    remaining_packet,
+    request_key,
+    tell_unknown,
+)
 from mustardhold.systems.retries import schedule_retry
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox, ToBackend
@@ -75,6 +80,12 @@
     outbox: Outbox,
 ) -> None:
     """Start a request, or its refusal, on the way along its owners."""
+    key = request_key(record.flow, record.request_id)
+    if is_handed_over(tables, record.flow, key):
+        record.refusal = ''
+        end_record(tables, record)
+        tell_unknown(tables, record, 'already-forwarded', outbox)
+        return
     is_vouched = record.is_certain
     if not record.idempotent:
         is_vouched = is_complete(tables, now, record.flow)
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -5,21 +5,18 @@
     expire_backends,
     take_announcement,
 )
-from mustardhold.systems.answers import take_seen
 from mustardhold.systems.deadlines import run_request_timers
 from mustardhold.systems.records import forget_flow, take_chain
-from mustardhold.systems.request_chain import take_request_chain
+from mustardhold.systems.request_messages import take_request_message
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.packets import CallerPacket
 from mustardhold.tables.peers import (
-    AnswersSeen,
     BackendShared,
     FlowClosed,
     PeerMessage,
     RecordChain,
     Relay,
-    RequestChain,
 )
 
 
@@ -37,10 +34,8 @@
             forget_flow(tables, flow)
         case BackendShared(backend=backend):
             take_announcement(tables, now, backend)
-        case RequestChain():
-            take_request_chain(tables, now, message, outbox)
-        case AnswersSeen():
-            take_seen(tables, message, outbox)
+        case _:
+            take_request_message(tables, now, message, outbox)
 
 
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
--- a/src/mustardhold/systems/request_chain.py
+++ b/src/mustardhold/systems/request_chain.py
@@ -14,6 +14,7 @@
 from mustardhold.systems.ownership import is_lease_live
 from mustardhold.systems.request_records import (
     add_record,
+    is_handed_over,
     make_record,
     request_key,
     tell_not_run,
@@ -65,6 +66,9 @@
     packet = chain.packet
     key = request_key(packet.flow, packet.request_id)
     record = tables.requests.records_by_key.get(key)
+    if is_handed_over(tables, packet.flow, key):
+        tables.counters[chain.service, 'request-chain-stopped'] += 1
+        return None
     if record is None:
         record = make_record(
             now, packet, chain.service, chain.backend_id, chain.epoch
--- /dev/null
+++ b/src/mustardhold/systems/request_messages.py
@@ -0,0 +1,31 @@
+"""Messages about requests from other balancers."""
+
+from mustardhold.systems.answers import take_seen
+from mustardhold.systems.dispatch import pump_windows
+from mustardhold.systems.request_chain import take_request_chain
+from mustardhold.systems.request_handover import take_known, take_wanted
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.outbox import Outbox
+from mustardhold.tables.peers import (
+    AnswersSeen,
+    KnownRequests,
+    RequestChain,
+    RequestMessage,
+    RequestsWanted,
+)
+
+
+def take_request_message(
+    tables: BalancerTables, now: float, message: RequestMessage, outbox: Outbox
+) -> None:
+    """Act on a message about requests."""
+    match message:
+        case RequestChain():
+            take_request_chain(tables, now, message, outbox)
+        case AnswersSeen():
+            take_seen(tables, message, outbox)
+            pump_windows(tables, now, outbox)
+        case RequestsWanted():
+            take_wanted(tables, now, message, outbox)
+        case KnownRequests():
+            take_known(tables, now, message)
--- a/src/mustardhold/systems/request_records.py
+++ b/src/mustardhold/systems/request_records.py
@@ -1,9 +1,11 @@
 """Records of requests: made within limits, found by key, forgotten in time."""
 
 import heapq
+import math
 
 import xxhash
 
+from mustardhold.systems.hashing import bucket_of
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import (
     IDEMPOTENT_RECORD_MARGIN,
@@ -45,6 +47,9 @@
         return False
     requests.records_by_key[key] = record
     requests.records_by_service[record.service] += 1
+    if not record.idempotent:
+        bucket = bucket_of(record.flow)
+        requests.bookings_by_bucket.setdefault(bucket, set()).add(key)
     add_timer(tables, tell_at(record), key, Due.DEADLINE)
     add_timer(tables, forget_at(record), key, Due.FORGET)
     return True
@@ -90,13 +95,32 @@
 
 
 def forget_record(tables: BalancerTables, now: float, key: bytes) -> None:
-    """Drop a record at the end of its life."""
+    """Drop what is known of a request at the end of its life."""
     requests = tables.requests
+    forget_handed_over(tables, now, key)
     record = requests.records_by_key.get(key)
     if record is None or now < forget_at(record):
         return
     requests.records_by_key.pop(key)
     requests.records_by_service[record.service] -= 1
+    bookings = requests.bookings_by_bucket.get(bucket_of(record.flow))
+    if bookings is not None:
+        bookings.discard(key)
+
+
+def forget_handed_over(tables: BalancerTables, now: float, key: bytes) -> None:
+    """Drop a request of an earlier owner at the end of its life."""
+    handed_over = tables.requests.handed_over
+    for bucket, keys in tuple(handed_over.items()):
+        if now >= keys.get(key, math.inf):
+            keys.pop(key)
+        if not keys:
+            handed_over.pop(bucket)
+
+
+def is_handed_over(tables: BalancerTables, flow: bytes, key: bytes) -> bool:
+    """Tell whether an earlier owner has seen a request."""
+    return key in tables.requests.handed_over.get(bucket_of(flow), {})
 
 
 def remaining_packet(
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -91,11 +91,36 @@
     entries: bytes
 
 
-PeerMessage = (
-    Relay
-    | RecordChain
-    | FlowClosed
-    | BackendShared
-    | RequestChain
-    | AnswersSeen
-)
+class RequestsWanted(msgspec.Struct, array_like=True, tag=62, frozen=True):
+    """Asks for the ids of earlier requests of buckets that are owned anew.
+
+    Attributes
+    ----------
+    buckets
+        Pairs of a bucket and the epoch since which the sender owns it.
+    """
+
+    sender_id: str
+    epoch: int
+    buckets: tuple[tuple[int, int], ...]
+
+
+class KnownRequests(msgspec.Struct, array_like=True, tag=63, frozen=True):
+    """One page of the earlier requests of a bucket.
+
+    Attributes
+    ----------
+    entries
+        Entries of a fixed size, see ``systems/request_handover.py``.
+    """
+
+    sender_id: str
+    epoch: int
+    bucket: int
+    page: int
+    pages: int
+    entries: bytes
+
+
+RequestMessage = RequestChain | AnswersSeen | RequestsWanted | KnownRequests
+PeerMessage = Relay | RecordChain | FlowClosed | BackendShared | RequestMessage
--- a/src/mustardhold/tables/requests.py
+++ b/src/mustardhold/tables/requests.py
@@ -93,6 +93,29 @@
     reads: deque[bytes] = field(default_factory=deque)
 
 
+@dataclass(slots=True)
+class OwnerSpan:
+    """A time as owner of one bucket, without a gap.
+
+    Attributes
+    ----------
+    since
+        Reading of the local monotonic clock, in seconds.
+    since_epoch, until_epoch
+        Epochs of the views that began and ended it.
+    is_complete
+        Whether the requests of earlier owners are known as well.
+    pages_by_sender
+        Pages of earlier requests that have come, while some are missing.
+    """
+
+    since: float
+    since_epoch: int
+    until_epoch: int | None = None
+    is_complete: bool = False
+    pages_by_sender: dict[str, set[int]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class OwnerHistory:
     """Since when this balancer has known every request of a bucket.
@@ -103,14 +126,13 @@
         Epoch of the view that the history has taken in; none at the start.
     lease_until
         Latest lease seen in that epoch, as a local monotonic reading.
-    owner_since, primary_since
+    primary_since
         Local monotonic readings by bucket.
     """
 
     epoch: int | None = None
     lease_until: float = -math.inf
-    owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
-    owner_since: dict[int, float] = field(default_factory=dict)
+    spans_by_bucket: dict[int, OwnerSpan] = field(default_factory=dict)
     primary_since: dict[int, float] = field(default_factory=dict)
 
 
@@ -128,6 +150,13 @@
         Retries that the budget of a service allows now.
     seen_by_owner
         Packed entries of answers seen here, for the primary owners.
+    bookings_by_bucket
+        Keys of the records of non-idempotent requests.
+    handed_over
+        Keys of requests of earlier owners, and the local monotonic reading
+        at which each is forgotten, by bucket.
+    asks
+        Questions sent for the requests of earlier owners.
     """
 
     records_by_key: dict[bytes, RequestRecord] = field(default_factory=dict)
@@ -138,4 +167,7 @@
     ready: set[str] = field(default_factory=set)
     retry_tokens_by_service: dict[str, float] = field(default_factory=dict)
     seen_by_owner: dict[str, bytearray] = field(default_factory=dict)
+    bookings_by_bucket: dict[int, set[bytes]] = field(default_factory=dict)
+    handed_over: dict[int, dict[bytes, float]] = field(default_factory=dict)
+    asks: int = 0
     history: OwnerHistory = field(default_factory=OwnerHistory)
