Prove requests under faults: at most once, not run, whole answer, one outcome

Fake servers count runs when a slot is taken, honour deadlines and cancels, and can shed or be slow; fake callers send ids again.

--- a/tools/fakes/callers.py
+++ b/tools/fakes/callers.py
@@ -15,6 +15,7 @@
     Request,
     Unknown,
 )
+from tools.fakes.servers import answer_part
 
 
 @dataclass(slots=True)
@@ -25,9 +26,13 @@
     ----------
     outcomes
         Every outcome that arrived, in order.
+    first_outcome_at
+        Virtual time of the first, in seconds.
     """
 
     request: Request
+    sent_at: float = 0
+    first_outcome_at: float | None = None
     parts: dict[int, bytes] = field(default_factory=dict)
     outcomes: list[str] = field(default_factory=list)
     foreign_answers: int = 0
@@ -74,10 +79,12 @@
         case FlowEnded() if not seen.closed and seen.opened_at is not None:
             seen.ended_at = now
         case Answer() | NotRun() | Unknown():
-            note_outcome(seen, packet)
+            note_outcome(seen, packet, now)
 
 
-def note_outcome(seen: FlowSeen, packet: Answer | NotRun | Unknown) -> None:
+def note_outcome(
+    seen: FlowSeen, packet: Answer | NotRun | Unknown, now: float
+) -> None:
     """Keep what a packet tells of a request."""
     request = seen.requests_by_id.get(packet.request_id)
     if request is None:
@@ -87,10 +94,18 @@
     elif isinstance(packet, Unknown):
         request.outcomes.append('unknown')
     else:
-        request.parts[packet.part] = packet.payload
-        request.foreign_answers += packet.payload != request.request.payload
-        if len(request.parts) == packet.parts:
-            request.outcomes.append('answered')
+        note_part(request, packet)
+    if request.outcomes and request.first_outcome_at is None:
+        request.first_outcome_at = now
+
+
+def note_part(request: RequestSeen, packet: Answer) -> None:
+    """Keep one part of an answer."""
+    expected = answer_part(request.request.payload, packet.part)
+    request.foreign_answers += packet.payload != expected
+    request.parts[packet.part] = packet.payload
+    if len(request.parts) == packet.parts:
+        request.outcomes.append('answered')
 
 
 def is_broken(seen: FlowSeen) -> bool:
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -275,7 +275,7 @@
                 lambda packet: spray(fleet, server.backend_id, packet),
             )
 
-    send(fleet.network, sender, server.backend_id, take)
+    send(fleet.network, sender, server.backend_id, take, repeats=False)
 
 
 def control_bytes(fleet: Fleet, name: str) -> int:
--- /dev/null
+++ b/tools/fakes/request_runs.py
@@ -0,0 +1,131 @@
+"""Runs of request traffic under one or two faults, driven by a seed."""
+
+import functools
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from tools.fakes.callers import FlowSeen, RequestSeen
+from tools.fakes.event_queue import run_until, schedule
+from tools.fakes.fleet import Fleet, Logic, freeze, kill, make_fleet, thaw
+from tools.fakes.servers import make_servers
+from tools.fakes.traffic import FlowNumbers, Traffic, start_traffic
+
+BALANCERS = ('b1', 'b2', 'b3', 'b4', 'b5')
+FAULT_AT = 6.0
+TRAFFIC_END = 20.0
+END = 45.0
+SHORT_FREEZE = 5.0
+LONG_FREEZE = 30.0
+
+Fault = Callable[[Fleet], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A run that has ended.
+
+    Attributes
+    ----------
+    runs_by_request
+        Runs at all servers, by flow key and request id, joined.
+    """
+
+    faults: tuple[str, ...]
+    fleet: Fleet
+    runs_by_request: Counter[bytes]
+
+
+def lose_packets(fleet: Fleet) -> None:
+    """Lose a share of all packets and messages."""
+    fleet.network.loss = 0.05
+
+
+def repeat_packets(fleet: Fleet) -> None:
+    """Repeat a share of them, except on the links to the servers."""
+    fleet.network.repeats = 0.1
+
+
+def delay_packets(fleet: Fleet) -> None:
+    """Let packets overtake each other widely."""
+    fleet.network.max_delay = 0.05
+
+
+def shed_requests(fleet: Fleet) -> None:
+    """Let the servers shed a share of the requests."""
+    for server in fleet.servers_by_id.values():
+        server.shed_share = 0.3
+
+
+def slow_servers(fleet: Fleet) -> None:
+    """Let a share of the requests take longer than their deadline."""
+    for server in fleet.servers_by_id.values():
+        server.slow_share = 0.1
+
+
+def pick_balancer(fleet: Fleet) -> str:
+    """Choose a balancer that is neither dead nor frozen."""
+    names = [
+        name for name in fleet.spray if name not in fleet.backlog_by_frozen
+    ]
+    return fleet.queue.rng.choice(names)
+
+
+def kill_balancer(fleet: Fleet) -> None:
+    """End one balancer."""
+    kill(fleet, pick_balancer(fleet))
+
+
+def freeze_for(fleet: Fleet, seconds: float) -> None:
+    """Freeze one balancer, and thaw it later."""
+    name = pick_balancer(fleet)
+    freeze(fleet, name)
+    schedule(fleet.queue, seconds, lambda: thaw(fleet, name))
+
+
+FAULTS: dict[str, Fault] = {
+    'loss': lose_packets,
+    'repeats': repeat_packets,
+    'delays': delay_packets,
+    'shed': shed_requests,
+    'slow': slow_servers,
+    'kill': kill_balancer,
+    'freeze-5': lambda fleet: freeze_for(fleet, SHORT_FREEZE),
+    'freeze-30': lambda fleet: freeze_for(fleet, LONG_FREEZE),
+}
+
+
+def fault_sets() -> list[tuple[str, ...]]:
+    """List every fault alone, then every two of them."""
+    alone = [(name,) for name in FAULTS]
+    return [*alone, *itertools.combinations(FAULTS, 2)]
+
+
+def run_requests(seed: int, logic: Logic, traffic: Traffic) -> Run:
+    """Run traffic under the faults that the seed picks, in turn."""
+    sets = fault_sets()
+    faults = sets[(seed * 7) % len(sets)]
+    fleet = make_fleet(seed, logic, BALANCERS, make_servers('werkstatt', 7))
+    start_traffic(fleet, traffic, TRAFFIC_END, FlowNumbers())
+    for name in faults:
+        at = FAULT_AT + fleet.queue.rng.uniform(0, 2)
+        schedule(fleet.queue, at, functools.partial(FAULTS[name], fleet))
+    run_until(fleet.queue, END)
+    runs: Counter[bytes] = Counter()
+    for server in fleet.servers_by_id.values():
+        runs.update(server.runs_by_request)
+    return Run(faults, fleet, runs)
+
+
+def seen_requests(fleet: Fleet) -> Iterator[tuple[FlowSeen, RequestSeen]]:
+    """Yield every request with its flow."""
+    for seen in fleet.flows_by_key.values():
+        for request in seen.requests_by_id.values():
+            yield seen, request
+
+
+def runs_of(run: Run, request: RequestSeen) -> int:
+    """Count how often a request ran."""
+    packet = request.request
+    return run.runs_by_request[packet.flow + packet.request_id]
--- a/tools/fakes/traffic.py
+++ b/tools/fakes/traffic.py
@@ -1,15 +1,19 @@
 """Seeded traffic of fake callers over a fleet."""
 
 import itertools
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from mustardhold.tables.packets import Close, Open, Request, Upload
+import msgspec
+
+from mustardhold.tables.packets import Cancel, Close, Open, Request, Upload
 from tools.fakes.callers import FlowSeen, RequestSeen, is_broken
 from tools.fakes.event_queue import run_until, schedule, schedule_every
 from tools.fakes.fleet import Fleet, flow_key, spray
 
 REQUEST_ID_BYTES = 16
+MS_PER_SECOND = 1000
 OPEN_RETRY_SECONDS = 0.25
 OPEN_TRIES = 40
 PROBES = 12
@@ -31,6 +35,17 @@
         Time between two uploads of a flow.
     request_seconds
         Time between two requests of a flow; 0 for none.
+    resend_seconds
+        Time after which a request without outcome is sent again; 0 for never.
+    late_resends
+        Share of the requests that are sent again after ``late_seconds``,
+        whatever their outcome, as if the answer had been lost.
+    cancels
+        Share of the requests that are withdrawn right after.
+    request_ids
+        Number of ids that callers choose from; 0 for random ids.
+    requests_until
+        Virtual time after which no new request is sent.
     """
 
     service: str
@@ -40,6 +55,12 @@
     request_seconds: float = 0
     idempotent_share: float = 0.5
     deadline_ms: int = 2000
+    resend_seconds: float = 0
+    late_resends: float = 0
+    late_seconds: float = 8
+    cancels: float = 0
+    request_ids: int = 0
+    requests_until: float = math.inf
 
 
 @dataclass(slots=True)
@@ -105,7 +126,7 @@
             schedule(fleet.queue, traffic.upload_seconds, upload)
 
     def ask() -> None:
-        if is_usable(seen):
+        if is_usable(seen) and fleet.queue.now < traffic.requests_until:
             send_request(fleet, seen, traffic)
         if not seen.closed:
             schedule(fleet.queue, traffic.request_seconds, ask)
@@ -123,22 +144,55 @@
 
 
 def send_request(fleet: Fleet, seen: FlowSeen, traffic: Traffic) -> RequestSeen:
-    """Send a request with an id of its own."""
+    """Send a request, and again as the traffic's shape says."""
     rng = fleet.queue.rng
     request_id = rng.randbytes(REQUEST_ID_BYTES)
+    if traffic.request_ids:
+        number = rng.randrange(traffic.request_ids)
+        request_id = number.to_bytes(REQUEST_ID_BYTES, 'big')
     packet = Request(
         seen.flow,
         request_id,
         rng.random() < traffic.idempotent_share,
         traffic.deadline_ms,
-        request_id,
+        seen.flow + request_id,
     )
-    request = RequestSeen(packet)
-    seen.requests_by_id[request_id] = request
+    request = seen.requests_by_id.setdefault(
+        request_id, RequestSeen(packet, fleet.queue.now)
+    )
+    if request.request is not packet:
+        return request
     spray(fleet, CALLER, packet)
+    if traffic.resend_seconds:
+        resend_until_told(fleet, request, traffic.resend_seconds)
+    if rng.random() < traffic.late_resends:
+        late = rng.uniform(0, traffic.late_seconds)
+        schedule(fleet.queue, late, lambda: spray(fleet, CALLER, packet))
+    if rng.random() < traffic.cancels:
+        cancel = Cancel(seen.flow, request_id)
+        spray(fleet, CALLER, cancel)
     return request
 
 
+def resend_until_told(
+    fleet: Fleet, request: RequestSeen, period: float
+) -> None:
+    """Send a request again and again until its outcome or its deadline."""
+    first = request.request
+    deadline = request.sent_at + first.deadline_ms / MS_PER_SECOND
+
+    def resend() -> None:
+        left = deadline - fleet.queue.now
+        if request.outcomes or left <= 0:
+            return
+        left_ms = int(left * MS_PER_SECOND)
+        again = msgspec.structs.replace(first, deadline_ms=left_ms)
+        spray(fleet, CALLER, again)
+        schedule(fleet.queue, period, resend)
+
+    schedule(fleet.queue, period, resend)
+
+
 def close_flow(fleet: Fleet, seen: FlowSeen) -> None:
     """End a flow from the caller's side."""
     if not seen.closed:
