--- /dev/null
+++ b/src/mustardhold/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, a module for each group."""
--- /dev/null
+++ b/src/mustardhold/commands/parser.py
@@ -0,0 +1,71 @@
+"""Arguments of the command line."""
+
+import argparse
+from pathlib import Path
+
+from mustardhold.tables.routing import Weighting
+
+EPILOG = """\
+examples:
+  mustardhold check --balancer balancer.yaml
+  mustardhold balancer --settings balancer.yaml
+  mustardhold control --settings control.yaml
+  mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
+  mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
+  mustardhold status --at 127.0.0.1:7101
+
+exit codes:
+  0  done
+  1  the fleet refused, or could not be reached
+  2  wrong usage, or settings with findings
+"""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        'mustardhold',
+        description='A layer-4 load balancer.',
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    for program in ('balancer', 'control'):
+        command = commands.add_parser(program, help=f'run a {program}')
+        command.add_argument('--settings', type=Path, required=True)
+    add_check(commands.add_parser('check', help='check settings files'))
+    add_route(commands.add_parser('route', help='edit the routes'))
+    add_pool(commands.add_parser('pool', help='edit the pools'))
+    status = commands.add_parser('status', help='show a process')
+    status.add_argument('--at', action='append', required=True)
+    return parser
+
+
+def add_check(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``check``."""
+    command.add_argument('--balancer', type=Path, action='append', default=[])
+    command.add_argument('--control', type=Path, action='append', default=[])
+
+
+def add_entry_arguments(command: argparse.ArgumentParser) -> None:
+    """Add what edits of both tables take."""
+    command.add_argument('action', choices=('put', 'delete'))
+    command.add_argument('name')
+    command.add_argument('--control', action='append', required=True)
+    command.add_argument('--edit-id')
+
+
+def add_route(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``route``."""
+    add_entry_arguments(command)
+    command.add_argument('--address', action='append', default=[])
+
+
+def add_pool(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``pool``."""
+    add_entry_arguments(command)
+    command.add_argument('--server', action='append', default=[])
+    command.add_argument('--drain', action='append', default=[])
+    command.add_argument(
+        '--weighting', choices=list(Weighting), default=Weighting.AFFINITY
+    )
