Report every finding of the settings files with its place

Cause: a settings file was converted whole, so the first wrong value hid the others and no finding told its line. The schema comes from the option types; the YAML nodes are walked with their marks, so unknown, missing, repeated and mistyped keys, malformed addresses and names, durations without a unit and impossible combinations are reported together. `mustardhold check FILE...` also compares the files of one fleet. Ruled out: converting first and mapping the library's error back to a key, which stops at the first error.

--- a/src/mustardhold/commands/check.py
+++ b/src/mustardhold/commands/check.py
@@ -1,23 +1,46 @@
 """The check of settings files."""
 
 import argparse
+from collections.abc import Iterable
+from pathlib import Path
 
-from mustardhold.adapters.settings import load_options
-from mustardhold.commands.output import EXIT_OK, EXIT_USAGE, complain_all
-from mustardhold.tables.options import BalancerOptions, ControlOptions
-from mustardhold.tables.outcomes import Err
+from mustardhold.adapters.settings import (
+    AnyOptions,
+    SettingsFile,
+    load_file,
+)
+from mustardhold.commands.output import (
+    EXIT_OK,
+    EXIT_USAGE,
+    complain_all,
+    say,
+)
+from mustardhold.systems.fleet_checks import find_fleet_faults
+from mustardhold.tables.findings import SettingsFinding
+from mustardhold.tables.outcomes import Ok
+
+
+def check_files(paths: Iterable[Path]) -> list[SettingsFinding]:
+    """Check files alone, then the sound ones as one fleet."""
+    findings: list[SettingsFinding] = []
+    options_by_file: dict[str, AnyOptions] = {}
+    sources = {str(path): SettingsFile(path) for path in paths}
+    for name, source in sources.items():
+        loaded = load_file(source)
+        if isinstance(loaded, Ok):
+            options_by_file[name] = loaded.value
+        else:
+            findings.extend(loaded.error)
+    findings.extend(
+        sources[fault.file].locate(fault.found)
+        for fault in find_fleet_faults(options_by_file)
+    )
+    return findings
 
 
 def run_check(arguments: argparse.Namespace) -> int:
     """Check settings files and report every finding."""
-    findings: list[object] = []
-    for path in arguments.balancer:
-        loaded = load_options(path, BalancerOptions)
-        if isinstance(loaded, Err):
-            findings.extend(loaded.error)
-    for path in arguments.control:
-        loaded_control = load_options(path, ControlOptions)
-        if isinstance(loaded_control, Err):
-            findings.extend(loaded_control.error)
+    findings = check_files(arguments.files)
     complain_all(findings)
+    say(f'{len(arguments.files)} files, {len(findings)} findings')
     return EXIT_USAGE if findings else EXIT_OK
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -7,7 +7,7 @@
 
 EPILOG = """\
 examples:
-  mustardhold check --balancer balancer.yaml
+  mustardhold check balancer.yaml control.yaml
   mustardhold balancer --settings balancer.yaml
   mustardhold control --settings control.yaml
   mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
@@ -33,7 +33,11 @@
     for program in ('balancer', 'control'):
         command = commands.add_parser(program, help=f'run a {program}')
         command.add_argument('--settings', type=Path, required=True)
-    add_check(commands.add_parser('check', help='check settings files'))
+    add_check(
+        commands.add_parser(
+            'check', help='check settings files, alone and as one fleet'
+        )
+    )
     add_route(commands.add_parser('route', help='edit the routes'))
     add_pool(commands.add_parser('pool', help='edit the pools'))
     status = commands.add_parser('status', help='show a process')
@@ -43,8 +47,7 @@
 
 def add_check(command: argparse.ArgumentParser) -> None:
     """Add the arguments of ``check``."""
-    command.add_argument('--balancer', type=Path, action='append', default=[])
-    command.add_argument('--control', type=Path, action='append', default=[])
+    command.add_argument('files', type=Path, nargs='+', metavar='FILE')
 
 
 def add_entry_arguments(command: argparse.ArgumentParser) -> None:
--- a/src/mustardhold/systems/addresses.py
+++ b/src/mustardhold/systems/addresses.py
@@ -18,10 +18,11 @@
         If the text is not an IPv4 address with a port.
     """
     host, colon, port_text = address.rpartition(':')
-    port = int(port_text)
-    if not colon or not 0 <= port < 2**16:
+    is_number = port_text.isascii() and port_text.isdigit()
+    if not colon or not is_number or int(port_text) >= 2**16:
         raise ValueError(f'not an address with a port: {address!r}')
-    return ipaddress.IPv4Address(host).packed + struct.pack(PORT_FORMAT, port)
+    port = struct.pack(PORT_FORMAT, int(port_text))
+    return ipaddress.IPv4Address(host).packed + port
 
 
 def unpack_address(packed: bytes) -> tuple[str, int]:
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -1,7 +1,11 @@
 """Checked settings of the programs."""
 
+from datetime import timedelta
+
 import msgspec
 
+from mustardhold.tables.constants import STOP_BOUND, WITHDRAWAL
+from mustardhold.tables.field_types import Address, Name
 from mustardhold.tables.views import Member
 
 
@@ -22,24 +26,31 @@
         Balancers over which one fabric sprays, this one included.
     folder
         Where the last table is kept; none on an instance without a disk.
+    withdrawal
+        How long the fabric may take to see that ``/ready`` fails and to
+        send no further packets.
+    stop_bound
+        Longest time from the signal to stop until the process has ended.
     """
 
-    instance_id: str
-    data_centre: str
-    data_address: str
-    peer_address: str
-    http_address: str
-    control_addresses: tuple[str, ...]
+    instance_id: Name
+    data_centre: Name
+    data_address: Address
+    peer_address: Address
+    http_address: Address
+    control_addresses: tuple[Address, ...]
     group: tuple[Member, ...]
     folder: str | None = None
+    withdrawal: timedelta = WITHDRAWAL
+    stop_bound: timedelta = STOP_BOUND
 
 
 class Replica(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A control replica and the address of its HTTP server."""
 
-    instance_id: str
-    data_centre: str
-    http_address: str
+    instance_id: Name
+    data_centre: Name
+    http_address: Address
 
 
 class ControlOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -53,8 +64,8 @@
         All control replicas, this one included.
     """
 
-    instance_id: str
-    data_centre: str
-    http_address: str
+    instance_id: Name
+    data_centre: Name
+    http_address: Address
     folder: str
     replicas: tuple[Replica, ...]
--- a/src/mustardhold/tables/views.py
+++ b/src/mustardhold/tables/views.py
@@ -2,8 +2,10 @@
 
 import msgspec
 
+from mustardhold.tables.field_types import Address, Name
 
-class Member(msgspec.Struct, frozen=True):
+
+class Member(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A balancer of the spray group.
 
     Attributes
@@ -12,9 +14,9 @@
         IPv4 address and UDP port for messages between balancers.
     """
 
-    instance_id: str
-    data_centre: str
-    peer_address: str
+    instance_id: Name
+    data_centre: Name
+    peer_address: Address
 
 
 class View(msgspec.Struct, frozen=True):
