Count bad input, time requests and let a balancer leave the spray

Cause: one exception ended the packet loop; packets of balancers, oversized and malformed ones were one counter; a second scrape of /metrics failed on the library's global registry; SIGTERM cut what the fabric still sent. Change: a fault of one packet, tick or HTTP request is counted and logged once; messages from outside the group are dropped; announcements and JSON bodies are refused with every finding; /ready tells the fabric when to withdraw a balancer, which then finishes within stop_bound; /metrics has histograms by service and class; /explain tells recent decisions. Packets are handed to the systems by a table of types and passed on without being encoded again.

--- a/src/mustardhold/adapters/http_app.py
+++ b/src/mustardhold/adapters/http_app.py
@@ -11,6 +11,7 @@
 from mustardhold.tables.routing import Finding, Refused
 
 MAX_BODY_BYTES = 262_144
+INTERNAL_FAULT = HTTPStatus.INTERNAL_SERVER_ERROR
 JSON_TYPE = 'application/json'
 
 
@@ -33,6 +34,7 @@
 
 Handler = Callable[[Ask], Awaitable[Reply]]
 HandlersByPath = Mapping[tuple[str, str], Handler]
+NoteFault = Callable[[Exception], None]
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
 
@@ -46,14 +48,35 @@
     return json_reply(Refused((Finding(place, message),)), status)
 
 
-def make_app(handlers: HandlersByPath) -> Application:
-    """Make the ASGI application that serves some handlers."""
+def refuse_all(findings: tuple[Finding, ...]) -> Reply:
+    """Answer with every finding of a body."""
+    return json_reply(Refused(findings), HTTPStatus.BAD_REQUEST)
+
+
+def ignore_fault(_: Exception) -> None:
+    """Report a handler's fault nowhere."""
+
+
+def make_app(
+    handlers: HandlersByPath, note_fault: NoteFault = ignore_fault
+) -> Application:
+    """Make the ASGI application that serves some handlers.
+
+    Parameters
+    ----------
+    note_fault
+        Learns of exceptions that a handler should not have raised.
+    """
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         if scope['type'] == 'lifespan':
             await answer_lifespan(receive, send)
         elif scope['type'] == 'http':
-            reply = await answer(handlers, scope, receive)
+            try:
+                reply = await answer(handlers, scope, receive)
+            except Exception as error:  # one request never ends the server
+                note_fault(error)
+                reply = refuse('', 'internal fault', INTERNAL_FAULT)
             await send_reply(reply, send)
 
     return app
@@ -72,7 +95,7 @@
     """Read a request and call its handler."""
     handler = handlers.get((scope['method'], scope['path']))
     if handler is None:
-        return refuse('path', 'no such page', HTTPStatus.NOT_FOUND)
+        return refuse_page(handlers, scope['path'])
     body = await read_body(receive)
     if body is None:
         return refuse(
@@ -81,10 +104,19 @@
     query = dict(parse_qsl(scope['query_string'].decode('latin-1')))
     try:
         return await handler(Ask(query, body))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return refuse('body', str(error), HTTPStatus.BAD_REQUEST)
 
 
+def refuse_page(handlers: HandlersByPath, path: str) -> Reply:
+    """Answer a request for which there is no handler."""
+    methods = [method for method, known in handlers if known == path]
+    if not methods:
+        return refuse('path', 'no such page', HTTPStatus.NOT_FOUND)
+    message = f'must be one of {", ".join(methods)}'
+    return refuse('method', message, HTTPStatus.METHOD_NOT_ALLOWED)
+
+
 async def read_body(receive: Any) -> bytes | None:
     """Read a request's body, or nothing where it is too large."""
     body = bytearray()
--- a/src/mustardhold/adapters/http_server.py
+++ b/src/mustardhold/adapters/http_server.py
@@ -5,8 +5,7 @@
 from hypercorn.trio import serve
 
 from mustardhold.adapters.http_app import Application
-
-GRACE_SECONDS = 2
+from mustardhold.tables.constants import HTTP_GRACE
 
 
 async def serve_http(
@@ -17,8 +16,8 @@
     config.bind = [address]
     config.accesslog = None
     config.errorlog = None
-    config.graceful_timeout = GRACE_SECONDS
-    config.shutdown_timeout = GRACE_SECONDS
+    config.graceful_timeout = HTTP_GRACE.total_seconds()
+    config.shutdown_timeout = HTTP_GRACE.total_seconds()
     await serve(
         app,
         config,
--- a/src/mustardhold/adapters/metrics.py
+++ b/src/mustardhold/adapters/metrics.py
@@ -1,19 +1,90 @@
 """Metrics in the Prometheus text format."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from http import HTTPStatus
+from itertools import accumulate
 
-from aioprometheus import Counter, Registry, render
+from aioprometheus import (
+    Counter,
+    Registry,
+    collectors,
+    render,
+)
+from aioprometheus.histogram import Histogram as Samples
 
 from mustardhold.adapters.http_app import Reply
+from mustardhold.tables.gauges import Gauge
+from mustardhold.tables.histograms import Histogram
+from mustardhold.tables.observations import HistogramKey
 
+PREFIX = 'mustardhold'
+SUMMARY_BY_HISTOGRAM = {
+    'request_seconds': 'Time from forwarding a request to its first answer',
+    'open_seconds': 'Time from sending an opening to its answer',
+    'batch_packets': 'Packets taken between two checkpoints',
+    'relay_hops': 'Relays that a packet has been through',
+}
 
-def render_counters(counters: Mapping[tuple[str, str], int]) -> Reply:
-    """Render decisions by service and outcome."""
-    registry = Registry()
-    decisions = Counter('mustardhold_decisions_total', 'Decisions taken')
-    registry.register(decisions)
+
+def add_counters(
+    registry: Registry, counters: Mapping[tuple[str, str], int]
+) -> None:
+    """Add the decisions by service and outcome."""
+    decisions = Counter(
+        f'{PREFIX}_decisions_total', 'Decisions taken', registry=registry
+    )
     for (service, outcome), count in counters.items():
         decisions.set({'service': service, 'outcome': outcome}, count)
+
+
+def add_gauges(registry: Registry, gauges: Iterable[Gauge]) -> None:
+    """Add values that go up and down."""
+    gauges_by_name: dict[str, collectors.Gauge] = {}
+    for gauge in gauges:
+        if gauge.name not in gauges_by_name:
+            gauges_by_name[gauge.name] = collectors.Gauge(
+                f'{PREFIX}_{gauge.name}', gauge.summary, registry=registry
+            )
+        gauges_by_name[gauge.name].set(dict(gauge.labels), gauge.amount)
+
+
+def add_histograms(
+    registry: Registry, histograms_by_key: Mapping[HistogramKey, Histogram]
+) -> None:
+    """Add histograms by service and class."""
+    by_name: dict[str, collectors.Histogram] = {}
+    for (name, service, kind), histogram in histograms_by_key.items():
+        if name not in by_name:
+            by_name[name] = collectors.Histogram(
+                f'{PREFIX}_{name}',
+                SUMMARY_BY_HISTOGRAM[name],
+                registry=registry,
+                buckets=histogram.bounds,
+            )
+        labels = {'service': service, 'class': kind}
+        by_name[name].set_value(labels, samples_of(histogram))
+
+
+def samples_of(histogram: Histogram) -> Samples:
+    """Turn a histogram into the library's own form."""
+    samples = Samples(*histogram.bounds)
+    samples.buckets.update(
+        zip(samples.buckets, accumulate(histogram.counts), strict=True)
+    )
+    samples.observations = sum(histogram.counts)
+    samples.sum = histogram.total
+    return samples
+
+
+def render_metrics(
+    counters: Mapping[tuple[str, str], int],
+    histograms_by_key: Mapping[HistogramKey, Histogram],
+    gauges: Iterable[Gauge],
+) -> Reply:
+    """Render everything that a process counts and measures."""
+    registry = Registry()
+    add_counters(registry, counters)
+    add_gauges(registry, gauges)
+    add_histograms(registry, histograms_by_key)
     body, headers = render(registry, ['text/plain'])
     return Reply(HTTPStatus.OK, body, headers['Content-Type'])
--- a/src/mustardhold/adapters/packet_codec.py
+++ b/src/mustardhold/adapters/packet_codec.py
@@ -5,7 +5,7 @@
 from mustardhold.tables.constants import MAX_PACKET_BYTES
 from mustardhold.tables.packets import Packet
 
-_decoder = msgspec.msgpack.Decoder(Packet)
+_decode = msgspec.msgpack.Decoder(Packet).decode
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -14,11 +14,15 @@
     if len(raw) > MAX_PACKET_BYTES:
         return None
     try:
-        return _decoder.decode(raw)
+        return _decode(raw)
     except msgspec.DecodeError:
         return None
 
 
-def encode_packet(packet: Packet) -> bytes:
-    """Encode a packet."""
-    return _encoder.encode(packet)
+def fault_of(raw: bytes) -> str:
+    """Name the counter of a packet that could not be decoded."""
+    is_oversized = len(raw) > MAX_PACKET_BYTES
+    return 'packet-oversized' if is_oversized else 'packet-malformed'
+
+
+encode_packet = _encoder.encode
--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -11,10 +11,16 @@
 from mustardhold.daemons.balancer_http import make_balancer_app
 from mustardhold.daemons.balancer_packets import take_data, take_message
 from mustardhold.daemons.balancer_state import Balancer, make_balancer
+from mustardhold.daemons.faults import note_fault
 from mustardhold.daemons.packet_loop import run_packet_loop
 from mustardhold.daemons.sending import send_all
-from mustardhold.daemons.stopping import stop_on_signal
+from mustardhold.daemons.stopping import leave_on_signal
 from mustardhold.daemons.table_feed import follow_tables
+from mustardhold.systems.observing import (
+    BATCH_PACKETS,
+    expire_timers,
+    observe,
+)
 from mustardhold.systems.peers import tick
 from mustardhold.tables.constants import TICK
 from mustardhold.tables.options import BalancerOptions
@@ -25,9 +31,14 @@
     """Run the systems that time drives."""
     while True:
         await trio.sleep(TICK.total_seconds())
+        now = balancer.clock.monotonic()
         outbox: Outbox = []
-        tick(balancer.tables, balancer.clock.monotonic(), outbox)
+        try:
+            tick(balancer.tables, now, outbox)
+        except Exception as error:  # the next tick may well succeed
+            note_fault(balancer.faults, 'tick-failed', error)
         send_all(balancer, outbox)
+        expire_timers(balancer.observations, now)
 
 
 async def run_balancer(
@@ -35,28 +46,36 @@
 ) -> None:
     """Run a balancer until it is told to stop."""
     balancer = make_balancer(options, clock, log)
-    stopping = trio.Event()
     app = make_balancer_app(balancer)
     async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
-        nursery.start_soon(stop_on_signal, stopping)
+        nursery.start_soon(leave_on_signal, balancer)
         start_loops(balancer, nursery)
         nursery.start_soon(follow_tables, client, options, balancer.tables, log)
         log.info('balancer started')
-        await serve_http(app, options.http_address, stopping)
+        await serve_http(app, options.http_address, balancer.left)
         log.info('balancer stopped')
         nursery.cancel_scope.cancel()
 
 
 def start_loops(balancer: Balancer, nursery: trio.Nursery) -> None:
     """Start what reads the sockets and what time drives."""
+    note_batch = functools.partial(
+        observe, balancer.observations, (BATCH_PACKETS, '', '')
+    )
     nursery.start_soon(
         run_packet_loop,
         balancer.data_socket,
+        balancer.data_socket.recv,
         functools.partial(take_data, balancer),
+        balancer.faults,
+        note_batch,
     )
     nursery.start_soon(
         run_packet_loop,
         balancer.peer_socket,
+        balancer.peer_socket.recvfrom,
         functools.partial(take_message, balancer),
+        balancer.faults,
+        note_batch,
     )
     nursery.start_soon(run_ticks, balancer)
--- a/src/mustardhold/daemons/balancer_http.py
+++ b/src/mustardhold/daemons/balancer_http.py
@@ -1,8 +1,9 @@
 """HTTP handlers of a balancer."""
 
 import functools
-
-import msgspec
+import math
+from datetime import timedelta
+from http import HTTPStatus
 
 from mustardhold.adapters.http_app import (
     Application,
@@ -10,22 +11,41 @@
     Reply,
     json_reply,
     make_app,
+    refuse,
+    refuse_all,
 )
-from mustardhold.adapters.metrics import render_counters
+from mustardhold.adapters.json_body import read_json
+from mustardhold.adapters.metrics import render_metrics
 from mustardhold.daemons.balancer_state import Balancer
+from mustardhold.daemons.faults import note_fault
 from mustardhold.daemons.sending import send_all
+from mustardhold.systems.announcement_checks import find_announcement_faults
 from mustardhold.systems.announcements import take_announced
+from mustardhold.systems.explaining import explain
+from mustardhold.systems.gauges import balancer_gauges
+from mustardhold.systems.readiness import is_ready
 from mustardhold.tables.backends import BackendServer
+from mustardhold.tables.constants import FLOW_KEY_BYTES, REQUEST_ID_BYTES
 from mustardhold.tables.outbox import Outbox
+from mustardhold.tables.outcomes import Err
 from mustardhold.tables.status import BalancerStatus
 
+KEY_LENGTHS = (FLOW_KEY_BYTES, REQUEST_ID_BYTES)
+
 
 async def take_announce(balancer: Balancer, ask: Ask) -> Reply:
     """Handle a backend server's announcement."""
-    announced = msgspec.json.decode(ask.body, type=BackendServer)
+    read = read_json(ask.body, BackendServer)
+    if isinstance(read, Err):
+        balancer.tables.counters['', 'announcement-malformed'] += 1
+        return refuse_all(read.error)
+    findings = tuple(find_announcement_faults(read.value))
+    if findings:
+        balancer.tables.counters['', 'announcement-refused'] += 1
+        return refuse_all(findings)
     outbox: Outbox = []
     now = balancer.clock.monotonic()
-    take_announced(balancer.tables, now, announced, outbox)
+    take_announced(balancer.tables, now, read.value, outbox)
     send_all(balancer, outbox)
     return json_reply({'status': 'taken'})
 
@@ -42,9 +62,26 @@
         len(tables.flows_by_key),
         tuple(known.announced for known in tables.backends_by_id.values()),
         {'/'.join(key): count for key, count in tables.counters.items()},
+        is_ready(tables),
+        tables.stopping,
+        lease_left(balancer),
     )
 
 
+def lease_left(balancer: Balancer) -> float | None:
+    """Find how long the balancer may act as an owner, in seconds."""
+    left = balancer.tables.lease_until - balancer.clock.monotonic()
+    return None if math.isinf(left) else left
+
+
+async def show_ready(balancer: Balancer, _: Ask) -> Reply:
+    """Tell the fabric whether it may hand packets to this balancer."""
+    if is_ready(balancer.tables):
+        return json_reply({'status': 'ready'})
+    reason = 'stopping' if balancer.tables.stopping else 'no table yet'
+    return refuse('', reason, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
 async def show_status(balancer: Balancer, _: Ask) -> Reply:
     """Handle a question for the balancer's status."""
     return json_reply(status_of(balancer))
@@ -52,7 +89,29 @@
 
 async def show_metrics(balancer: Balancer, _: Ask) -> Reply:
     """Handle a scrape of the metrics."""
-    return render_counters(balancer.tables.counters)
+    now = balancer.clock.monotonic()
+    return render_metrics(
+        balancer.tables.counters,
+        balancer.observations.histograms_by_key,
+        balancer_gauges(balancer.tables, balancer.observations, now),
+    )
+
+
+async def show_explanation(balancer: Balancer, ask: Ask) -> Reply:
+    """Tell what is known of a flow or a request, by its digits."""
+    wanted = ask.query.get('flow') or ask.query.get('request') or ''
+    try:
+        key = bytes.fromhex(wanted)
+    except ValueError:
+        key = b''
+    if len(key) not in KEY_LENGTHS:
+        message = 'must be a flow key or a request id in hexadecimal digits'
+        return refuse('query', message, HTTPStatus.BAD_REQUEST)
+    clock = balancer.clock
+    epoch = clock.now() - timedelta(seconds=clock.monotonic())
+    return json_reply(
+        explain(balancer.tables, balancer.observations, key, epoch)
+    )
 
 
 def make_balancer_app(balancer: Balancer) -> Application:
@@ -60,11 +119,14 @@
     handlers = {
         ('POST', '/announce'): take_announce,
         ('GET', '/status'): show_status,
+        ('GET', '/ready'): show_ready,
         ('GET', '/metrics'): show_metrics,
+        ('GET', '/explain'): show_explanation,
     }
     return make_app(
         {
             page: functools.partial(handler, balancer)
             for page, handler in handlers.items()
-        }
+        },
+        functools.partial(note_fault, balancer.faults, 'http-failed'),
     )
--- a/src/mustardhold/daemons/balancer_packets.py
+++ b/src/mustardhold/daemons/balancer_packets.py
@@ -1,6 +1,9 @@
 """Datagrams that reach a balancer."""
 
-from mustardhold.adapters.packet_codec import decode_packet
+from collections.abc import Callable
+from typing import Any, get_args
+
+from mustardhold.adapters.packet_codec import decode_packet, fault_of
 from mustardhold.adapters.peer_codec import decode_message
 from mustardhold.daemons.balancer_state import Balancer
 from mustardhold.daemons.sending import send_all
@@ -8,31 +11,86 @@
     take_backend_packet,
     take_caller_packet,
 )
+from mustardhold.systems.observing import (
+    RELAY_HOPS,
+    note_backend_packet,
+    observe,
+)
 from mustardhold.systems.peers import take_peer_message
 from mustardhold.tables.outbox import Outbox
-from mustardhold.tables.packets import BackendPacket, CallerPacket
+from mustardhold.tables.packets import (
+    Answer,
+    BackendPacket,
+    CallerPacket,
+    Opened,
+    Shed,
+)
+from mustardhold.tables.peers import Relay
+
+Take = Callable[[Balancer, Any, Outbox], None]
+
+
+def take_from_caller(
+    balancer: Balancer, packet: CallerPacket, outbox: Outbox
+) -> None:
+    """Act on a caller's packet."""
+    now = balancer.clock.monotonic()
+    take_caller_packet(balancer.tables, now, packet, outbox)
+
+
+def take_from_backend(
+    balancer: Balancer, packet: BackendPacket, outbox: Outbox
+) -> None:
+    """Act on a backend server's packet."""
+    take_backend_packet(balancer.tables, packet, outbox)
+
+
+def take_timed(
+    balancer: Balancer, packet: BackendPacket, outbox: Outbox
+) -> None:
+    """Act on a packet that answers an opening or a request."""
+    take_backend_packet(balancer.tables, packet, outbox)
+    now = balancer.clock.monotonic()
+    note_backend_packet(balancer.observations, now, packet)
+
+
+# A test against a union would be slow on the way of each packet.
+TAKERS_BY_KIND: dict[type, Take] = {
+    **dict.fromkeys(get_args(CallerPacket), take_from_caller),
+    **dict.fromkeys(get_args(BackendPacket), take_from_backend),
+    **dict.fromkeys((Opened, Answer, Shed), take_timed),
+}
 
 
 def take_data(balancer: Balancer, raw: bytes) -> None:
     """Act on a datagram from the fabric or a backend server."""
     packet = decode_packet(raw)
+    take = TAKERS_BY_KIND.get(type(packet))
+    if take is None:
+        fault = fault_of(raw) if packet is None else 'packet-wrong-side'
+        balancer.tables.counters['', fault] += 1
+        return
     outbox: Outbox = []
-    if isinstance(packet, CallerPacket):
-        now = balancer.clock.monotonic()
-        take_caller_packet(balancer.tables, now, packet, outbox)
-    elif isinstance(packet, BackendPacket):
-        take_backend_packet(balancer.tables, packet, outbox)
-    else:
-        balancer.tables.counters['', 'packet-malformed'] += 1
-    send_all(balancer, outbox)
+    take(balancer, packet, outbox)
+    send_all(balancer, outbox, packet, raw)
 
 
-def take_message(balancer: Balancer, raw: bytes) -> None:
+def take_message(
+    balancer: Balancer, received: tuple[bytes, tuple[str, int]]
+) -> None:
     """Act on a datagram from another balancer."""
+    raw, source = received
+    counters = balancer.tables.counters
+    if source not in balancer.peer_sources:
+        counters['', 'message-foreign'] += 1
+        return
     message = decode_message(raw)
     if message is None:
-        balancer.tables.counters['', 'message-malformed'] += 1
+        counters['', 'message-malformed'] += 1
         return
+    if isinstance(message, Relay):
+        key = (RELAY_HOPS, '', '')
+        observe(balancer.observations, key, message.hops)
     outbox: Outbox = []
     now = balancer.clock.monotonic()
     take_peer_message(balancer.tables, now, message, outbox)
--- a/src/mustardhold/daemons/balancer_state.py
+++ b/src/mustardhold/daemons/balancer_state.py
@@ -2,25 +2,42 @@
 
 import logging
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+import trio
 
 from mustardhold.adapters.clock import Clock
+from mustardhold.daemons.faults import Faults
 from mustardhold.daemons.packet_loop import bind_socket
+from mustardhold.systems.addresses import split_address
 from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.observations import Observations
 from mustardhold.tables.options import BalancerOptions
 from mustardhold.tables.views import View
 
 
 @dataclass(slots=True)
 class Balancer:
-    """A running balancer."""
+    """A running balancer.
+
+    Attributes
+    ----------
+    peer_sources
+        Host and port from which each member of the group sends.
+    left
+        Set once nothing is in progress here and the process may end.
+    """
 
     options: BalancerOptions
     tables: BalancerTables
     clock: Clock
     data_socket: socket.socket
     peer_socket: socket.socket
+    peer_sources: frozenset[tuple[str, int]]
+    faults: Faults
     log: logging.Logger
+    observations: Observations = field(default_factory=Observations)
+    left: trio.Event = field(default_factory=trio.Event)
 
 
 def make_balancer(
@@ -28,11 +45,16 @@
 ) -> Balancer:
     """Open a balancer's sockets and make its tables."""
     view = View(1, {member.instance_id: member for member in options.group})
+    tables = BalancerTables(options.instance_id, options.data_centre, view)
     return Balancer(
         options,
-        BalancerTables(options.instance_id, options.data_centre, view),
+        tables,
         clock,
         bind_socket(options.data_address),
         bind_socket(options.peer_address),
+        frozenset(
+            split_address(member.peer_address) for member in options.group
+        ),
+        Faults(log, tables.counters),
         log,
     )
--- a/src/mustardhold/daemons/packet_loop.py
+++ b/src/mustardhold/daemons/packet_loop.py
@@ -2,16 +2,20 @@
 
 import socket
 from collections.abc import Callable
+from typing import TypeVar
 
 import trio
 
+from mustardhold.daemons.faults import Faults, note_fault
 from mustardhold.systems.addresses import split_address
 from mustardhold.tables.constants import PACKETS_PER_BATCH
 
 RECEIVE_BYTES = 65_535
 BUFFER_BYTES = 4_194_304
 
-TakeRaw = Callable[[bytes], None]
+Received = TypeVar('Received')
+Receive = Callable[[int], Received]
+Take = Callable[[Received], None]
 
 
 def bind_socket(address: str) -> socket.socket:
@@ -23,18 +27,38 @@
     return sock
 
 
-async def run_packet_loop(sock: socket.socket, take_raw: TakeRaw) -> None:
-    """Hand each datagram over, with a checkpoint between two batches."""
+async def run_packet_loop(
+    sock: socket.socket,
+    receive: Receive[Received],
+    take: Take[Received],
+    faults: Faults,
+    note_batch: Callable[[int], None],
+) -> None:
+    """Hand each datagram over, with a checkpoint between two batches.
+
+    Parameters
+    ----------
+    receive
+        Reads a datagram: the socket's own ``recv`` or ``recvfrom``.
+    note_batch
+        Learns the number of datagrams of each batch.
+    """
     while True:
         await trio.lowlevel.wait_readable(sock)
-        drain_batch(sock, take_raw)
+        note_batch(drain_batch(receive, take, faults))
 
 
-def drain_batch(sock: socket.socket, take_raw: TakeRaw) -> None:
-    """Hand over the datagrams that wait, up to one batch."""
-    for _ in range(PACKETS_PER_BATCH):
+def drain_batch(
+    receive: Receive[Received], take: Take[Received], faults: Faults
+) -> int:
+    """Hand over the datagrams that wait, up to one batch; count them."""
+    for taken in range(PACKETS_PER_BATCH):
         try:
-            raw = sock.recv(RECEIVE_BYTES)
+            received = receive(RECEIVE_BYTES)
         except BlockingIOError:
-            return
-        take_raw(raw)
+            return taken
+        try:
+            take(received)
+        except Exception as error:  # one packet never ends the loop
+            note_fault(faults, 'packet-failed', error)
+    return PACKETS_PER_BATCH
--- a/src/mustardhold/daemons/sending.py
+++ b/src/mustardhold/daemons/sending.py
@@ -1,41 +1,98 @@
 """Sends what the systems asked for."""
 
+from collections.abc import Callable
+
 from mustardhold.adapters.packet_codec import encode_packet
 from mustardhold.adapters.peer_codec import encode_message
 from mustardhold.daemons.balancer_state import Balancer
 from mustardhold.systems.addresses import caller_address, split_address
+from mustardhold.systems.observing import note_send
 from mustardhold.tables.constants import FLOW_KEY_BYTES
-from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
+from mustardhold.tables.outbox import Outbox, Send, ToBackend, ToCaller, ToPeer
+from mustardhold.tables.packets import (
+    Answer,
+    Download,
+    Packet,
+    Upload,
+)
 
 CALLER_BYTES = FLOW_KEY_BYTES // 2
+# Packets of a flow in progress carry no decision that is worth keeping.
+UNNOTED_KINDS = frozenset((Upload, Download, Answer))
+
+
+def is_noted(packet: Packet) -> bool:
+    """Tell whether a packet carries out a decision that is worth keeping."""
+    kind = type(packet)
+    return kind not in UNNOTED_KINDS
 
 
-def send_all(balancer: Balancer, outbox: Outbox) -> None:
-    """Send what the systems asked for; a full buffer drops and counts."""
+def send_all(
+    balancer: Balancer,
+    outbox: Outbox,
+    packet: Packet | None = None,
+    raw: bytes = b'',
+) -> None:
+    """Send what the systems asked for; a full buffer drops and counts.
+
+    Parameters
+    ----------
+    packet, raw
+        The packet that led to the sends, and its bytes: one that is passed
+        on unchanged is not encoded again.
+    """
     for send in outbox:
         try:
-            send_one(balancer, send)
+            SENDERS_BY_KIND[type(send)](balancer, send, packet, raw)
         except BlockingIOError:
             balancer.tables.counters['', 'send-buffer-full'] += 1
         except OSError:
             balancer.tables.counters['', 'send-failed'] += 1
 
 
-def send_one(balancer: Balancer, send: ToBackend | ToCaller | ToPeer) -> None:
-    """Send one packet or message."""
-    match send:
-        case ToBackend(address=address, packet=packet):
-            balancer.data_socket.sendto(
-                encode_packet(packet), split_address(address)
-            )
-        case ToCaller(packet=packet):
-            balancer.data_socket.sendto(
-                encode_packet(packet),
-                caller_address(packet.flow[:CALLER_BYTES]),
-            )
-        case ToPeer(instance_id=instance_id, message=message):
-            member = balancer.tables.view.members_by_id.get(instance_id)
-            if member is not None:
-                balancer.peer_socket.sendto(
-                    encode_message(message), split_address(member.peer_address)
-                )
+def send_to_backend(
+    balancer: Balancer, send: ToBackend, packet: Packet | None, raw: bytes
+) -> None:
+    """Send a packet to a backend server."""
+    body = raw if send.packet is packet else encode_packet(send.packet)
+    balancer.data_socket.sendto(body, split_address(send.address))
+    if is_noted(send.packet):
+        note(balancer, send)
+
+
+def send_to_caller(
+    balancer: Balancer, send: ToCaller, packet: Packet | None, raw: bytes
+) -> None:
+    """Send a packet to the caller that its flow key names."""
+    body = raw if send.packet is packet else encode_packet(send.packet)
+    address = caller_address(send.packet.flow[:CALLER_BYTES])
+    balancer.data_socket.sendto(body, address)
+    if is_noted(send.packet):
+        note(balancer, send)
+
+
+def send_to_peer(
+    balancer: Balancer, send: ToPeer, _: Packet | None, raw: bytes
+) -> None:
+    """Send a message to another balancer of the group."""
+    member = balancer.tables.view.members_by_id.get(send.instance_id)
+    if member is None:
+        balancer.tables.counters['', 'peer-unknown'] += 1
+        return
+    balancer.peer_socket.sendto(
+        encode_message(send.message), split_address(member.peer_address)
+    )
+    note(balancer, send)
+
+
+def note(balancer: Balancer, send: Send) -> None:
+    """Keep what a send tells of the decision behind it."""
+    now = balancer.clock.monotonic()
+    note_send(balancer.observations, balancer.tables, now, send)
+
+
+SENDERS_BY_KIND: dict[type[Send], Callable[..., None]] = {
+    ToBackend: send_to_backend,
+    ToCaller: send_to_caller,
+    ToPeer: send_to_peer,
+}
--- a/src/mustardhold/daemons/stopping.py
+++ b/src/mustardhold/daemons/stopping.py
@@ -4,6 +4,10 @@
 
 import trio
 
+from mustardhold.daemons.balancer_state import Balancer
+from mustardhold.systems.readiness import is_finished
+from mustardhold.tables.constants import HTTP_GRACE, TICK
+
 
 async def stop_on_signal(stopping: trio.Event) -> None:
     """Set the event at the first SIGTERM or SIGINT."""
@@ -11,3 +15,25 @@
         async for _ in signals:
             stopping.set()
             return
+
+
+async def leave_on_signal(balancer: Balancer) -> None:
+    """Leave the spray at a signal, and let what is in progress finish.
+
+    The balancer goes on taking packets meanwhile: the fabric still sends
+    some until it has seen that ``/ready`` fails.
+    """
+    signalled = trio.Event()
+    await stop_on_signal(signalled)
+    options, tables = balancer.options, balancer.tables
+    balancer.log.info('balancer stopping')
+    tables.stopping = True
+    bound = options.stop_bound - HTTP_GRACE
+    with trio.move_on_after(bound.total_seconds()) as scope:
+        await trio.sleep(options.withdrawal.total_seconds())
+        while not is_finished(tables):
+            await trio.sleep(TICK.total_seconds())
+    if scope.cancelled_caught:
+        tables.counters['', 'stop-bound-reached'] += 1
+        balancer.log.warning('stop bound reached before all was finished')
+    balancer.left.set()
--- /dev/null
+++ b/src/mustardhold/systems/announcement_checks.py
@@ -0,0 +1,34 @@
+"""What is wrong with a backend server's announcement."""
+
+import math
+from collections.abc import Iterator
+
+from mustardhold.systems.text_forms import find_address_fault, find_name_fault
+from mustardhold.tables.backends import BackendServer
+from mustardhold.tables.routing import Finding
+
+MAX_COUNT = 2**53
+
+
+def find_announcement_faults(announced: BackendServer) -> Iterator[Finding]:
+    """Yield each value that no backend server can truly have."""
+    for key in ('backend_id', 'pool', 'data_centre'):
+        fault = find_name_fault(getattr(announced, key))
+        if fault:
+            yield Finding(key, fault)
+    fault = find_address_fault(announced.address)
+    if fault:
+        yield Finding('address', fault)
+    if announced.slots < 1:
+        yield Finding('slots', 'must be at least 1')
+    for key in (
+        'slots',
+        'connection_limit',
+        'connections',
+        'incarnation',
+        'sequence',
+    ):
+        if not 0 <= getattr(announced, key) <= MAX_COUNT:
+            yield Finding(key, f'must be from 0 to {MAX_COUNT}')
+    if not math.isfinite(announced.load) or announced.load < 0:
+        yield Finding('load', 'must be a number from 0')
--- /dev/null
+++ b/src/mustardhold/systems/observing.py
@@ -0,0 +1,171 @@
+"""Timings and decisions, read off what a balancer takes and sends."""
+
+from bisect import bisect_left
+
+from mustardhold.systems.routing import service_of
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import (
+    MAX_SERIES,
+    MAX_TIMERS,
+    TIMER_LIFETIME,
+)
+from mustardhold.tables.histograms import (
+    BATCH_BOUNDS,
+    HOP_BOUNDS,
+    SECONDS_BOUNDS,
+    Histogram,
+)
+from mustardhold.tables.observations import (
+    Decision,
+    HistogramKey,
+    Observations,
+    Started,
+)
+from mustardhold.tables.outbox import Send, ToBackend, ToPeer
+from mustardhold.tables.packets import (
+    Answer,
+    Cancel,
+    Close,
+    FlowEnded,
+    NotRun,
+    Open,
+    Opened,
+    OpenRefused,
+    Packet,
+    Request,
+    Shed,
+    Unknown,
+)
+from mustardhold.tables.peers import Relay
+
+REQUEST_SECONDS = 'request_seconds'
+OPEN_SECONDS = 'open_seconds'
+BATCH_PACKETS = 'batch_packets'
+RELAY_HOPS = 'relay_hops'
+BOUNDS_BY_NAME = {
+    REQUEST_SECONDS: SECONDS_BOUNDS,
+    OPEN_SECONDS: SECONDS_BOUNDS,
+    BATCH_PACKETS: BATCH_BOUNDS,
+    RELAY_HOPS: HOP_BOUNDS,
+}
+OUTCOME_BY_KIND: dict[type, str] = {
+    Open: 'opening-sent',
+    Request: 'forwarded',
+    Cancel: 'cancellation-sent',
+    Close: 'close-sent',
+    OpenRefused: 'open-refused',
+    NotRun: 'not-run',
+    Unknown: 'unknown',
+    FlowEnded: 'flow-ended',
+    Opened: 'opened',
+    Shed: 'shed',
+}
+
+
+def observe(seen: Observations, key: HistogramKey, sample: float) -> None:
+    """Add a sample to the histogram of a name, service and class."""
+    histogram = seen.histograms_by_key.get(key)
+    if histogram is None:
+        if len(seen.histograms_by_key) >= MAX_SERIES:
+            return
+        histogram = Histogram(BOUNDS_BY_NAME[key[0]])
+        seen.histograms_by_key[key] = histogram
+    histogram.counts[bisect_left(histogram.bounds, sample)] += 1
+    histogram.total += sample
+
+
+def note_send(
+    seen: Observations, tables: BalancerTables, now: float, send: Send
+) -> None:
+    """Keep the decision that a send carries out, and start its timer."""
+    if isinstance(send, ToPeer):
+        if isinstance(send.message, Relay):
+            note_relay(seen, tables, now, send.message, send.instance_id)
+        return
+    packet = send.packet
+    outcome = OUTCOME_BY_KIND.get(type(packet))
+    if outcome is None:
+        return
+    reason = getattr(packet, 'reason', '')
+    target = 'caller'
+    if isinstance(send, ToBackend):
+        target = send.address
+        reason = 'the flow is placed on this server'
+        start_timer(seen, tables, now, packet)
+    keep_decision(seen, tables, now, packet, (outcome, target, reason))
+
+
+def note_relay(
+    seen: Observations,
+    tables: BalancerTables,
+    now: float,
+    message: Relay,
+    target: str,
+) -> None:
+    """Keep that a packet was passed on to another balancer."""
+    packet = message.packet
+    if OUTCOME_BY_KIND.get(type(packet)) is not None:
+        text = ('relayed', target, f'owner of the bucket, hop {message.hops}')
+        keep_decision(seen, tables, now, packet, text)
+
+
+def keep_decision(
+    seen: Observations,
+    tables: BalancerTables,
+    now: float,
+    packet: Packet,
+    text: tuple[str, str, str],
+) -> None:
+    """Keep a decision: its outcome, target and reason."""
+    seen.decisions.append(
+        Decision(
+            now,
+            packet.flow,
+            getattr(packet, 'request_id', b''),
+            *text,
+            tables.routing.version,
+            tables.view.epoch,
+        )
+    )
+
+
+def start_timer(
+    seen: Observations, tables: BalancerTables, now: float, packet: Packet
+) -> None:
+    """Remember when an opening or a request went to its server."""
+    service = service_of(tables, packet.flow) or ''
+    if isinstance(packet, Open):
+        if len(seen.opens_by_flow) < MAX_TIMERS:
+            started = Started(service, 'open', now)
+            seen.opens_by_flow.setdefault(packet.flow, started)
+    elif isinstance(packet, Request) and len(seen.requests_by_id) < MAX_TIMERS:
+        kind = 'idempotent' if packet.idempotent else 'non-idempotent'
+        started = Started(service, kind, now)
+        seen.requests_by_id.setdefault(packet.request_id, started)
+
+
+def note_backend_packet(seen: Observations, now: float, packet: Packet) -> None:
+    """Stop the timer of an opening or a request that is answered."""
+    started: Started | None = None
+    name = REQUEST_SECONDS
+    if isinstance(packet, Opened):
+        started = seen.opens_by_flow.pop(packet.flow, None)
+        name = OPEN_SECONDS
+    elif isinstance(packet, Answer | Shed):
+        started = seen.requests_by_id.pop(packet.request_id, None)
+    if started is not None:
+        observe(seen, (name, started.service, started.kind), now - started.at)
+
+
+def expire_timers(seen: Observations, now: float) -> None:
+    """Forget what was never answered here."""
+    oldest = now - TIMER_LIFETIME.total_seconds()
+    for timers in (seen.opens_by_flow, seen.requests_by_id):
+        # Entries stand in the order in which they were started.
+        expired = []
+        for key, started in timers.items():
+            if started.at > oldest:
+                break
+            expired.append(key)
+        for key in expired:
+            timers.pop(key)
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -11,6 +11,9 @@
 MAX_REQUEST_RECORDS: Final = 100_000
 MAX_BACKEND_SERVERS: Final = 4096
 MAX_TABLE_ENTRIES: Final = 40_000
+MAX_DECISIONS: Final = 8192
+MAX_TIMERS: Final = 32_768
+MAX_SERIES: Final = 4096
 
 BUCKETS_PER_POOL: Final = 256
 RECORD_OWNERS: Final = 3
@@ -21,6 +24,8 @@
 ANNOUNCE_INTERVAL: Final = timedelta(milliseconds=500)
 ANNOUNCE_LIFETIME: Final = timedelta(seconds=3)
 REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
+TIMER_LIFETIME: Final = timedelta(seconds=60)
 LONG_POLL: Final = timedelta(seconds=5)
 WITHDRAWAL: Final = timedelta(milliseconds=500)
+HTTP_GRACE: Final = timedelta(seconds=2)
 STOP_BOUND: Final = timedelta(seconds=10)
--- /dev/null
+++ b/src/mustardhold/tables/histograms.py
@@ -0,0 +1,44 @@
+"""Histograms that are kept between two scrapes."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+SECONDS_BOUNDS: Final = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+BATCH_BOUNDS: Final = (1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0)
+HOP_BOUNDS: Final = (1.0, 2.0, 3.0, 4.0)
+
+
+@dataclass(slots=True)
+class Histogram:
+    """Counts of samples by upper bound.
+
+    Attributes
+    ----------
+    counts
+        Samples in each bucket; the last one is above every bound.
+    total
+        Sum of all samples.
+    """
+
+    bounds: tuple[float, ...]
+    counts: list[int] = field(init=False)
+    total: float = 0
+
+    def __post_init__(self) -> None:
+        """Start with no samples."""
+        self.counts = [0 for _ in range(len(self.bounds) + 1)]
--- a/src/mustardhold/tables/status.py
+++ b/src/mustardhold/tables/status.py
@@ -1,5 +1,7 @@
 """What programs say of themselves, as served over HTTP."""
 
+from datetime import datetime
+
 import msgspec
 
 from mustardhold.tables.backends import BackendServer
@@ -13,6 +15,10 @@
     ----------
     counters
         Decisions by ``"service/outcome"``.
+    is_ready
+        Whether the fabric may hand packets to it.
+    lease_left
+        Seconds for which it may act as an owner; none without a limit.
     """
 
     instance_id: str
@@ -23,6 +29,64 @@
     flows: int
     backends: tuple[BackendServer, ...]
     counters: dict[str, int]
+    is_ready: bool = True
+    is_stopping: bool = False
+    lease_left: float | None = None
+
+
+class DecisionShown(msgspec.Struct, frozen=True):
+    """One decision, as it is shown to operators.
+
+    Attributes
+    ----------
+    at
+        Time of day, in UTC.
+    flow, request_id
+        Hexadecimal digits.
+    """
+
+    instance_id: str
+    at: datetime
+    flow: str
+    request_id: str
+    outcome: str
+    target: str
+    reason: str
+    table_version: int
+    view_epoch: int
+
+
+class FlowExplained(msgspec.Struct, frozen=True):
+    """What one balancer knows of a flow.
+
+    Attributes
+    ----------
+    service
+        Service of the flow's address; empty where no route has it.
+    owners
+        Owners of its bucket, the primary one first.
+    backend_id
+        Server in the balancer's own record; empty without a record.
+    backend_state
+        State of that server as it last announced itself.
+    """
+
+    instance_id: str
+    flow: str
+    service: str
+    bucket: int
+    owners: tuple[str, ...]
+    backend_id: str
+    backend_state: str
+    table_version: int
+    view_epoch: int
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """What one balancer tells about a flow or a request."""
+
+    flow: FlowExplained | None
+    decisions: tuple[DecisionShown, ...]
 
 
 class ControlStatus(msgspec.Struct, frozen=True):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -105,7 +105,10 @@
     for address in (control, *https):
         processes.wait_ready(address)
     fabric = processes.free_address()
-    sprayed = [f'--balancer={one["data_address"]}' for one in settings]
+    sprayed = [
+        f'--balancer={one["data_address"]},{one["http_address"]}'
+        for one in settings
+    ]
     processes.start(
         fleet, 'fabric', 'standins.fabric', f'--listen={fabric}', *sprayed
     )
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,5 +1,6 @@
 """Starts and ends processes of the product and of the stand-ins."""
 
+import os
 import signal
 import socket
 import subprocess
@@ -14,6 +15,8 @@
 LOOPBACK = '127.0.0.1'
 READY_SECONDS = 15
 STOP_SECONDS = 15
+ROOT = Path(__file__).parent.parent
+PYTHON_PATH = os.pathsep.join((str(ROOT / 'src'), str(ROOT)))
 POLL_SECONDS = 0.05
 
 
@@ -48,6 +51,7 @@
             stdout=subprocess.PIPE,
             stderr=log,
             text=True,
+            env={**os.environ, 'PYTHONPATH': PYTHON_PATH},
         )
 
 
