Show the fleet as a table and explain decisions from the command line

status asks every process and shows version, lag, epoch and flows; explain merges the recent decisions of all balancers in order of time. A program that cannot open its addresses or folder says so and exits 1.

--- a/src/mustardhold/cli.py
+++ b/src/mustardhold/cli.py
@@ -4,6 +4,7 @@
 
 from mustardhold.commands.check import run_check
 from mustardhold.commands.edits import run_edit
+from mustardhold.commands.explain import run_explain
 from mustardhold.commands.parser import make_parser
 from mustardhold.commands.programs import (
     run_balancer_program,
@@ -18,6 +19,7 @@
     'route': run_edit,
     'pool': run_edit,
     'status': run_status,
+    'explain': run_explain,
 }
 
 
@@ -27,7 +29,8 @@
     Returns
     -------
     int
-        The exit code: 0 done, 1 refused or unreachable, 2 wrong usage.
+        The exit code: 0 done, 1 refused, unreachable or not started,
+        2 wrong usage or settings with findings.
     """
     arguments = make_parser().parse_args(argv)
     return COMMANDS[arguments.command](arguments)
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -12,11 +12,12 @@
   mustardhold control --settings control.yaml
   mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
   mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
-  mustardhold status --at 127.0.0.1:7101
+  mustardhold status --at 127.0.0.1:7101 --at 127.0.0.1:7102
+  mustardhold explain 198.51.100.7:40000,10.20.0.2:443 --at 127.0.0.1:7101
 
 exit codes:
   0  done
-  1  the fleet refused, or could not be reached
+  1  the fleet refused or could not be reached, or a program could not start
   2  wrong usage, or settings with findings
 """
 
@@ -40,11 +41,40 @@
     )
     add_route(commands.add_parser('route', help='edit the routes'))
     add_pool(commands.add_parser('pool', help='edit the pools'))
-    status = commands.add_parser('status', help='show a process')
-    status.add_argument('--at', action='append', required=True)
+    add_status(commands.add_parser('status', help='show the fleet'))
+    add_explain(
+        commands.add_parser('explain', help='tell what was decided and why')
+    )
     return parser
 
 
+def add_status(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``status``."""
+    add_targets(command)
+    command.add_argument('--json', action='store_true', help='print JSON')
+
+
+def add_explain(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``explain``."""
+    command.add_argument(
+        'subject',
+        metavar='FLOW|REQUEST-ID|EDIT-ID',
+        help='a flow is its key in digits, or CALLER-ADDRESS,SERVICE-ADDRESS',
+    )
+    add_targets(command)
+
+
+def add_targets(command: argparse.ArgumentParser) -> None:
+    """Add the HTTP addresses of the processes to ask."""
+    command.add_argument(
+        '--at',
+        action='append',
+        required=True,
+        metavar='HTTP-ADDRESS',
+        help='a balancer or control replica; repeat for each',
+    )
+
+
 def add_check(command: argparse.ArgumentParser) -> None:
     """Add the arguments of ``check``."""
     command.add_argument('files', type=Path, nargs='+', metavar='FILE')
--- a/src/mustardhold/commands/programs.py
+++ b/src/mustardhold/commands/programs.py
@@ -1,13 +1,20 @@
 """The programs that keep running: balancer and control."""
 
 import argparse
+from collections.abc import Awaitable, Callable
+from logging import Logger
 
 import trio
 
-from mustardhold.adapters.clock import SystemClock
+from mustardhold.adapters.clock import Clock, SystemClock
 from mustardhold.adapters.logs import start_logs
-from mustardhold.adapters.settings import load_options
-from mustardhold.commands.output import EXIT_OK, EXIT_USAGE, complain_all
+from mustardhold.adapters.settings import Options, load_options
+from mustardhold.commands.output import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_USAGE,
+    complain_all,
+)
 from mustardhold.daemons.balancer import run_balancer
 from mustardhold.daemons.control import run_control
 from mustardhold.tables.options import BalancerOptions, ControlOptions
@@ -16,21 +23,30 @@
 
 def run_balancer_program(arguments: argparse.Namespace) -> int:
     """Run a balancer until it is stopped."""
-    loaded = load_options(arguments.settings, BalancerOptions)
-    if isinstance(loaded, Err):
-        complain_all(loaded.error)
-        return EXIT_USAGE
-    log = start_logs('balancer', loaded.value.instance_id)
-    trio.run(run_balancer, loaded.value, SystemClock(), log)
-    return EXIT_OK
+    return run_program('balancer', BalancerOptions, run_balancer, arguments)
 
 
 def run_control_program(arguments: argparse.Namespace) -> int:
     """Run a control replica until it is stopped."""
-    loaded = load_options(arguments.settings, ControlOptions)
+    return run_program('control', ControlOptions, run_control, arguments)
+
+
+def run_program(
+    name: str,
+    kind: type[Options],
+    run: Callable[[Options, Clock, Logger], Awaitable[None]],
+    arguments: argparse.Namespace,
+) -> int:
+    """Run a program on its settings; a bad file starts nothing."""
+    loaded = load_options(arguments.settings, kind)
     if isinstance(loaded, Err):
         complain_all(loaded.error)
         return EXIT_USAGE
-    log = start_logs('control', loaded.value.instance_id)
-    trio.run(run_control, loaded.value, SystemClock(), log)
-    return EXIT_OK
+    log = start_logs(name, loaded.value.instance_id)
+    reasons: list[Exception] = []
+    try:
+        trio.run(run, loaded.value, SystemClock(), log)
+    except* OSError as group:
+        reasons.extend(group.exceptions)
+    complain_all(f'cannot run: {reason}' for reason in reasons)
+    return EXIT_FAILED if reasons else EXIT_OK
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,106 @@
+"""The operator's commands, against answers that a fleet could give."""
+
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+import pytest
+
+from mustardhold.cli import main
+from mustardhold.commands import explain, show
+from mustardhold.tables.outcomes import Err, Ok
+from mustardhold.tables.routing import empty_table
+from mustardhold.tables.status import (
+    BalancerStatus,
+    ControlStatus,
+    DecisionShown,
+    Explanation,
+    FlowExplained,
+)
+
+FLOW = 'c6336407' + '9c40' + '0a140002' + '01bb'
+REQUEST = '0f' * 16
+NOON = datetime(2026, 12, 4, 12, tzinfo=UTC)
+
+
+def balancer(name, version):
+    return BalancerStatus(name, 'dc', version, 3, ('b1', 'b2'), 7, (), {})
+
+
+def decision(name, seconds):
+    at = NOON + timedelta(seconds=seconds)
+    text = ('forwarded', '127.0.0.1:9', 'the flow is placed on this server')
+    return DecisionShown(name, at, FLOW, REQUEST, *text, 4, 3)
+
+
+def serve(monkeypatch, module, pages):
+    monkeypatch.setattr(module, 'fetch_each', lambda *_: pages)
+
+
+def encoded(value):
+    return Ok(msgspec.json.encode(value))
+
+
+def test_status_shows_the_lag_of_each_process(monkeypatch, capsys):
+    pages = {
+        'a:1': encoded(balancer('b1', 4)),
+        'a:2': encoded(balancer('b2', 3)),
+        'a:3': encoded(ControlStatus('c1', 'dc', empty_table(), 0)),
+    }
+    serve(monkeypatch, show, pages)
+    assert main(['status', '--at', 'a:1']) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split()[-7:-4] for line in lines[1:3]] == [
+        ['0', '3', '2'],
+        ['1', '3', '2'],
+    ]
+    assert 'control' in lines[3]
+
+
+def test_status_fails_where_a_process_is_silent(monkeypatch, capsys):
+    pages = {'a:1': encoded(balancer('b1', 4)), 'a:2': Err('refused')}
+    serve(monkeypatch, show, pages)
+    assert main(['status', '--at', 'a:1', '--json']) == 1
+    caught = capsys.readouterr()
+    assert 'a:2: refused' in caught.err
+    assert msgspec.json.decode(caught.out)['a:1']['table_version'] == 4
+
+
+def test_explain_merges_decisions_by_time(monkeypatch, capsys):
+    flow = FlowExplained('b1', FLOW, 'katalog', 9, ('b1',), 's1', 'ready', 4, 3)
+    pages = {
+        'a:1': encoded(Explanation(flow, (decision('b1', 2),))),
+        'a:2': encoded(Explanation(None, (decision('b2', 1),))),
+    }
+    serve(monkeypatch, explain, pages)
+    subject = '198.51.100.7:40000,10.20.0.2:443'
+    assert main(['explain', subject, '--at', 'a:1']) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert 'of katalog, bucket 9, owners b1, recorded on s1' in lines[0]
+    assert [line.split()[1] for line in lines[1:]] == ['b2:', 'b1:']
+
+
+def test_explain_reads_its_subject():
+    by_address = explain.queries_for('198.51.100.7:40000,10.20.0.2:443')
+    assert by_address == Ok([{'flow': FLOW}])
+    assert explain.queries_for(FLOW) == Ok([{'flow': FLOW}])
+    both = [{'request': REQUEST}, {'edit': REQUEST}]
+    assert explain.queries_for(REQUEST) == Ok(both)
+    assert explain.queries_for('friday-1') == Ok([{'edit': 'friday-1'}])
+    assert isinstance(explain.queries_for('nowhere,10.20.0.2:443'), Err)
+
+
+@pytest.mark.parametrize('subject', ['a:1,b', 'friday-1'])
+def test_explain_fails_where_nothing_is_known(monkeypatch, capsys, subject):
+    serve(monkeypatch, explain, {'a:1': Err('404')})
+    assert main(['explain', subject, '--at', 'a:1']) in {1, 2}
+    assert capsys.readouterr().err
+
+
+def test_a_taken_address_stops_a_program(tmp_path, capsys):
+    path = tmp_path / 'control.yaml'
+    path.write_text(
+        'instance_id: c1\ndata_centre: dc\nfolder: /proc/none\n'
+        'http_address: 127.0.0.1:1\nreplicas: []\n'
+    )
+    assert main(['control', '--settings', str(path)]) == 1
+    assert 'cannot run' in capsys.readouterr().err
