--- a/src/mustardhold/daemons/balancer_http.py
+++ b/src/mustardhold/daemons/balancer_http.py
@@ -23,6 +23,7 @@
 from mustardhold.systems.announcements import take_announced
 from mustardhold.systems.explaining import explain
 from mustardhold.systems.gauges import balancer_gauges
+from mustardhold.systems.observing import all_histograms
 from mustardhold.systems.readiness import is_ready
 from mustardhold.tables.backends import BackendServer
 from mustardhold.tables.constants import FLOW_KEY_BYTES, REQUEST_ID_BYTES
@@ -92,7 +93,7 @@
     now = balancer.clock.monotonic()
     return render_metrics(
         balancer.tables.counters,
-        balancer.observations.histograms_by_key,
+        all_histograms(balancer.observations),
         balancer_gauges(balancer.tables, balancer.observations, now),
     )
 
--- a/src/mustardhold/daemons/balancer_packets.py
+++ b/src/mustardhold/daemons/balancer_packets.py
@@ -11,11 +11,7 @@
     take_backend_packet,
     take_caller_packet,
 )
-from mustardhold.systems.observing import (
-    RELAY_HOPS,
-    note_backend_packet,
-    observe,
-)
+from mustardhold.systems.observing import note_backend_packet
 from mustardhold.systems.peers import take_peer_message
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.packets import (
@@ -89,8 +85,7 @@
         counters['', 'message-malformed'] += 1
         return
     if isinstance(message, Relay):
-        key = (RELAY_HOPS, '', '')
-        observe(balancer.observations, key, message.hops)
+        balancer.observations.relays_by_hops[message.hops] += 1
     outbox: Outbox = []
     now = balancer.clock.monotonic()
     take_peer_message(balancer.tables, now, message, outbox)
--- a/src/mustardhold/daemons/sending.py
+++ b/src/mustardhold/daemons/sending.py
@@ -15,6 +15,7 @@
     Packet,
     Upload,
 )
+from mustardhold.tables.peers import Relay
 
 CALLER_BYTES = FLOW_KEY_BYTES // 2
 # Packets of a flow in progress carry no decision that is worth keeping.
@@ -79,10 +80,12 @@
     if member is None:
         balancer.tables.counters['', 'peer-unknown'] += 1
         return
+    message = send.message
     balancer.peer_socket.sendto(
-        encode_message(send.message), split_address(member.peer_address)
+        encode_message(message), split_address(member.peer_address)
     )
-    note(balancer, send)
+    if isinstance(message, Relay) and is_noted(message.packet):
+        note(balancer, send)
 
 
 def note(balancer: Balancer, send: Send) -> None:
--- a/src/mustardhold/systems/observing.py
+++ b/src/mustardhold/systems/observing.py
@@ -46,7 +46,6 @@
     REQUEST_SECONDS: SECONDS_BOUNDS,
     OPEN_SECONDS: SECONDS_BOUNDS,
     BATCH_PACKETS: BATCH_BOUNDS,
-    RELAY_HOPS: HOP_BOUNDS,
 }
 OUTCOME_BY_KIND: dict[type, str] = {
     Open: 'opening-sent',
@@ -74,6 +73,21 @@
     histogram.total += sample
 
 
+def relay_histogram(seen: Observations) -> Histogram:
+    """Make the histogram of relays from their counts."""
+    histogram = Histogram(HOP_BOUNDS)
+    for hops, count in seen.relays_by_hops.items():
+        histogram.counts[bisect_left(HOP_BOUNDS, hops)] += count
+        histogram.total += hops * count
+    return histogram
+
+
+def all_histograms(seen: Observations) -> dict[HistogramKey, Histogram]:
+    """Collect every histogram, by name, service and class."""
+    relays = {(RELAY_HOPS, '', ''): relay_histogram(seen)}
+    return {**seen.histograms_by_key, **relays}
+
+
 def note_send(
     seen: Observations, tables: BalancerTables, now: float, send: Send
 ) -> None:
--- a/src/mustardhold/tables/observations.py
+++ b/src/mustardhold/tables/observations.py
@@ -1,6 +1,6 @@
 """What a balancer has seen of its own work: timings and decisions."""
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 import msgspec
@@ -60,6 +60,8 @@
     ----------
     histograms_by_key
         Histograms by name, service and class.
+    relays_by_hops
+        Relayed packets by the number of relays they have been through.
     """
 
     requests_by_id: dict[bytes, Started] = field(default_factory=dict)
@@ -67,6 +69,7 @@
     histograms_by_key: dict[HistogramKey, Histogram] = field(
         default_factory=dict
     )
+    relays_by_hops: Counter[int] = field(default_factory=Counter)
     decisions: deque[Decision] = field(
         default_factory=lambda: deque(maxlen=MAX_DECISIONS)
     )
--- a/src/mustardhold/tables/outbox.py
+++ b/src/mustardhold/tables/outbox.py
@@ -1,25 +1,25 @@
 """What a system asks its daemon to send."""
 
-from typing import NamedTuple
+import msgspec
 
 from mustardhold.tables.packets import Packet
 from mustardhold.tables.peers import PeerMessage
 
 
-class ToBackend(NamedTuple):
+class ToBackend(msgspec.Struct, frozen=True, gc=False):
     """A packet for a backend server; ``address`` is ``"ip:port"``."""
 
     address: str
     packet: Packet
 
 
-class ToCaller(NamedTuple):
+class ToCaller(msgspec.Struct, frozen=True, gc=False):
     """A packet for the caller that its flow key names."""
 
     packet: Packet
 
 
-class ToPeer(NamedTuple):
+class ToPeer(msgspec.Struct, frozen=True, gc=False):
     """A message for another balancer of the spray group."""
 
     instance_id: str
