Share backend servers by digests and bound what is placed on them

Cause: each announcement was passed on to each balancer; a silent server was forgotten after 3 s and its flows were refused; nothing kept two balancers from placing the same last places of a server.

Change: digests twice a second, with what each balancer holds; silent servers stay known while recorded; ejection within a bound, slow start; each balancer places at most half of its share of the free places of a report.

--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,5 +1,6 @@
 """The way of a packet: every packet of a flow goes through its owner."""
 
+from mustardhold.systems.health import note_backend_packet
 from mustardhold.systems.opening import open_flow
 from mustardhold.systems.ownership import is_lease_live, owners_for
 from mustardhold.systems.records import end_flow
@@ -86,6 +87,7 @@
     tables: BalancerTables, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Pass a server's packet to the caller that its flow key names."""
+    note_backend_packet(tables, packet)
     if isinstance(packet, Answer | Shed):
         note_answer(tables, packet)
     if isinstance(packet, Shed):
--- a/src/mustardhold/systems/announcements.py
+++ b/src/mustardhold/systems/announcements.py
@@ -1,16 +1,28 @@
 """Backend servers that announce themselves to any balancer."""
 
+from mustardhold.systems.capacity import update_allowance
+from mustardhold.systems.slow_start import note_state
 from mustardhold.tables.backends import BackendServer, KnownBackend
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import ANNOUNCE_LIFETIME, MAX_BACKEND_SERVERS
 from mustardhold.tables.outbox import Outbox, ToPeer
 from mustardhold.tables.peers import BackendShared
 
+LOAD_SMOOTHING = 0.2
 
-def is_newer(announced: BackendServer, known: KnownBackend | None) -> bool:
-    """Tell whether an announcement is later than the one that is known."""
+
+def is_newer(
+    announced: BackendServer, known: KnownBackend | None, now: float
+) -> bool:
+    """Tell whether an announcement is later than the one that is known.
+
+    A server that was silent may have lost its count of incarnations, so then
+    any announcement counts as later.
+    """
     if known is None:
         return True
+    if now - known.heard_at > ANNOUNCE_LIFETIME.total_seconds():
+        return True
     before = known.announced
     return (announced.incarnation, announced.sequence) > (
         before.incarnation,
@@ -18,38 +30,69 @@
     )
 
 
+def is_material(announced: BackendServer, known: KnownBackend | None) -> bool:
+    """Tell whether the other balancers have to learn of a change at once."""
+    if known is None:
+        return True
+    before = known.announced
+    return (announced.incarnation, announced.state) != (
+        before.incarnation,
+        before.state,
+    )
+
+
 def take_announcement(
-    tables: BalancerTables, now: float, announced: BackendServer
+    tables: BalancerTables,
+    now: float,
+    announced: BackendServer,
+    age: float = 0,
 ) -> bool:
     """Store an announcement unless it is old.
 
+    Parameters
+    ----------
+    age
+        Time since it arrived at the first balancer, in seconds.
+
     Returns
     -------
     bool
         Whether it was newer than what was known.
     """
     known = tables.backends_by_id.get(announced.backend_id)
-    if not is_newer(announced, known):
+    if not is_newer(announced, known, now):
         tables.counters[announced.pool, 'announcement-old'] += 1
         return False
-    if known is not None:
-        known.announced = announced
-        known.heard_at = now
-        return True
-    if len(tables.backends_by_id) >= MAX_BACKEND_SERVERS:
-        tables.counters[announced.pool, 'announcement-table-full'] += 1
-        return False
-    tables.backends_by_id[announced.backend_id] = KnownBackend(announced, now)
+    if known is None:
+        if not make_space(tables):
+            tables.counters[announced.pool, 'announcement-table-full'] += 1
+            return False
+        known = KnownBackend(announced, now - age, load=announced.load)
+        tables.backends_by_id[announced.backend_id] = known
+    note_state(known, announced, now)
+    known.announced = announced
+    known.heard_at = now - age
+    known.is_silent = False
+    known.load += LOAD_SMOOTHING * (announced.load - known.load)
+    update_allowance(tables, now, known)
     return True
 
 
-def share_announcement(
-    tables: BalancerTables, announced: BackendServer, outbox: Outbox
-) -> None:
-    """Pass an announcement to the other balancers of the group."""
-    for instance_id in tables.view.members_by_id:
-        if instance_id != tables.instance_id:
-            outbox.append(ToPeer(instance_id, BackendShared(announced)))
+def make_space(tables: BalancerTables) -> bool:
+    """Keep the table within its limit; a silent, unused server goes first."""
+    if len(tables.backends_by_id) < MAX_BACKEND_SERVERS:
+        return True
+    used = {record.backend_id for record in tables.flows_by_key.values()}
+    unused = (
+        backend_id
+        for backend_id, known in tables.backends_by_id.items()
+        if known.is_silent and backend_id not in used
+    )
+    backend_id = next(unused, None)
+    if backend_id is None:
+        return False
+    tables.backends_by_id.pop(backend_id)
+    return True
 
 
 def take_announced(
@@ -58,18 +101,20 @@
     announced: BackendServer,
     outbox: Outbox,
 ) -> None:
-    """Store a server's own announcement and share it if it is newer."""
-    if take_announcement(tables, now, announced):
+    """Store a server's own announcement; share a change of state at once."""
+    known = tables.backends_by_id.get(announced.backend_id)
+    material = is_material(announced, known)
+    if not take_announcement(tables, now, announced):
+        return
+    tables.backends_by_id[announced.backend_id].heard_here = True
+    if material:
         share_announcement(tables, announced, outbox)
 
 
-def expire_backends(tables: BalancerTables, now: float) -> None:
-    """Forget servers that went silent and hold no flow placed here."""
-    lifetime = ANNOUNCE_LIFETIME.total_seconds()
-    silent = [
-        backend_id
-        for backend_id, known in tables.backends_by_id.items()
-        if now - known.heard_at > lifetime
-    ]
-    for backend_id in silent:
-        tables.backends_by_id.pop(backend_id)
+def share_announcement(
+    tables: BalancerTables, announced: BackendServer, outbox: Outbox
+) -> None:
+    """Pass an announcement to the other balancers of the group."""
+    for instance_id in tables.view.members_by_id:
+        if instance_id != tables.instance_id:
+            outbox.append(ToPeer(instance_id, BackendShared(announced)))
--- /dev/null
+++ b/src/mustardhold/systems/digests.py
@@ -0,0 +1,136 @@
+"""What balancers tell each other of backend servers, twice a second."""
+
+import msgspec
+
+from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.capacity import close_tick
+from mustardhold.systems.health import (
+    decay_penalty,
+    forget_backends,
+    judge_servers,
+)
+from mustardhold.systems.slow_start import update_open_share
+from mustardhold.tables.backends import (
+    BackendRow,
+    BackendServer,
+    KnownBackend,
+)
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import ANNOUNCE_INTERVAL
+from mustardhold.tables.outbox import Outbox, ToPeer
+from mustardhold.tables.peers import (
+    BackendDigest,
+    BackendsAsked,
+    BackendShared,
+)
+
+FULL_DIGEST_EVERY = 8
+HELD_STEPS = 50
+MS_PER_SECOND = 1000
+PERCENT = 100
+MAX_DIGEST_ROWS = 24
+
+
+def tick_backends(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Judge the servers and tell the other balancers what was heard."""
+    judge_servers(tables, now)
+    for known in tables.backends_by_id.values():
+        update_open_share(known, now)
+        decay_penalty(known)
+        close_tick(tables, now, known)
+    forget_backends(tables, now)
+    if now >= tables.digest_at:
+        tables.digest_at = now + ANNOUNCE_INTERVAL.total_seconds()
+        send_digest(tables, now, outbox)
+
+
+def send_digest(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Send what changed since the last digest; at times, all that is held."""
+    tables.digests += 1
+    is_full = tables.digests % FULL_DIGEST_EVERY == 0
+    heard = sorted(
+        (known for known in tables.backends_by_id.values() if known.heard_here),
+        key=lambda known: known.heard_at,
+    )[:MAX_DIGEST_ROWS]
+    held_by_id = {
+        known.announced.backend_id: known.held_flows
+        for known in tables.backends_by_id.values()
+        if is_held_news(known) or (is_full and known.held_flows)
+    }
+    if not heard and not held_by_id:
+        return
+    rows = tuple(row_of(known, now) for known in heard)
+    for known in heard:
+        known.heard_here = False
+    for backend_id, held in held_by_id.items():
+        tables.backends_by_id[backend_id].held_told = held
+    digest = BackendDigest(tables.instance_id, rows, held_by_id)
+    outbox.extend(
+        ToPeer(instance_id, digest)
+        for instance_id in tables.view.members_by_id
+        if instance_id != tables.instance_id
+    )
+
+
+def is_held_news(known: KnownBackend) -> bool:
+    """Tell whether the number of held flows changed by a step."""
+    step = max(known.held_told // HELD_STEPS, 1)
+    return abs(known.held_flows - known.held_told) >= step
+
+
+def row_of(known: KnownBackend, now: float) -> BackendRow:
+    """Describe the changing part of an announcement."""
+    announced = known.announced
+    return BackendRow(
+        announced.backend_id,
+        announced.incarnation,
+        announced.sequence,
+        announced.connections,
+        int(announced.load * PERCENT),
+        announced.state,
+        int((now - known.heard_at) * MS_PER_SECOND),
+    )
+
+
+def take_digest(
+    tables: BalancerTables, now: float, digest: BackendDigest, outbox: Outbox
+) -> None:
+    """Learn from another balancer, and ask for what is not known here."""
+    unknown = []
+    for row in digest.rows:
+        known = tables.backends_by_id.get(row.backend_id)
+        if known is None or known.announced.incarnation < row.incarnation:
+            unknown.append(row.backend_id)
+            continue
+        announced = apply_row(known.announced, row)
+        take_announcement(tables, now, announced, row.age_ms / MS_PER_SECOND)
+    for backend_id, held in digest.held_by_id.items():
+        holding = tables.backends_by_id.get(backend_id)
+        if holding is not None:
+            holding.held_by_member[digest.sender_id] = held
+    if unknown:
+        asked = BackendsAsked(tables.instance_id, tuple(unknown))
+        outbox.append(ToPeer(digest.sender_id, asked))
+
+
+def apply_row(announced: BackendServer, row: BackendRow) -> BackendServer:
+    """Bring an announcement up to date."""
+    return msgspec.structs.replace(
+        announced,
+        incarnation=row.incarnation,
+        sequence=row.sequence,
+        connections=row.connections,
+        load=row.load / PERCENT,
+        state=row.state,
+    )
+
+
+def answer_asked(
+    tables: BalancerTables, asked: BackendsAsked, outbox: Outbox
+) -> None:
+    """Send the whole announcements that another balancer lacks."""
+    for backend_id in asked.backend_ids:
+        known = tables.backends_by_id.get(backend_id)
+        if known is not None:
+            shared = BackendShared(known.announced)
+            outbox.append(ToPeer(asked.sender_id, shared))
--- a/src/mustardhold/systems/opening.py
+++ b/src/mustardhold/systems/opening.py
@@ -1,8 +1,9 @@
 """Places new flows on backend servers."""
 
+from mustardhold.systems.capacity import note_placed
 from mustardhold.systems.choice import choose_server
 from mustardhold.systems.records import pass_chain
-from mustardhold.systems.routing import open_servers, service_of
+from mustardhold.systems.routing import service_of
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import MAX_FLOW_RECORDS
 from mustardhold.tables.flows import FlowRecord
@@ -45,13 +46,11 @@
     if len(tables.flows_by_key) >= MAX_FLOW_RECORDS:
         refuse_open(tables, packet.flow, service, 'table-full', outbox)
         return None
-    chosen = choose_server(
-        packet.flow, tables.data_centre, open_servers(tables, pool)
-    )
+    chosen = choose_server(tables, pool, packet.flow)
     if chosen is None:
         refuse_open(tables, packet.flow, service, 'no-capacity', outbox)
         return None
-    chosen.held_flows += 1
+    note_placed(chosen)
     record = FlowRecord(service, chosen.announced.backend_id, is_primary=True)
     tables.flows_by_key[packet.flow] = record
     tables.counters[service, 'opened'] += 1
--- a/src/mustardhold/tables/backends.py
+++ b/src/mustardhold/tables/backends.py
@@ -1,6 +1,8 @@
 """Backend servers as they announce themselves."""
 
+import math
 from enum import StrEnum
+from typing import NamedTuple
 
 import msgspec
 
@@ -16,6 +18,8 @@
 class BackendServer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One announcement of a backend server.
 
+    Connections, load and state change; the rest is fixed for an incarnation.
+
     Attributes
     ----------
     address
@@ -45,17 +49,91 @@
     sequence: int
 
 
+class BackendRow(msgspec.Struct, array_like=True, frozen=True):
+    """The changing part of an announcement, as balancers repeat it.
+
+    Attributes
+    ----------
+    load
+        Busy share of the slots, in hundredths.
+    age_ms
+        Time since the announcement arrived, in milliseconds.
+    """
+
+    backend_id: str
+    incarnation: int
+    sequence: int
+    connections: int
+    load: int
+    state: BackendState
+    age_ms: int
+
+
+class Placed(NamedTuple):
+    """Flows that were placed on a server up to a time, in seconds."""
+
+    until: float
+    flows: int
+
+
 class KnownBackend(msgspec.Struct):
     """A backend server as one balancer knows it.
 
+    Times are readings of the local monotonic clock, in seconds.
+
     Attributes
     ----------
     heard_at
-        Reading of the local monotonic clock, in seconds.
+        When the latest announcement arrived at any balancer of the group.
     held_flows
-        Flows that this balancer has placed on the server as primary owner.
+        Flows that this balancer holds on the server as primary owner.
+    held_by_member
+        The same of the other balancers, as they tell.
+    heard_here
+        Whether the next digest has to repeat the announcement.
+    held_told
+        What the latest digest said of ``held_flows``.
+    placed
+        Flows placed here that the announcement may not count yet.
+    placed_in_tick
+        Flows placed here since the latest tick.
+    placed_since
+        Sum of both.
+    connections
+        Estimate of the server's flows, without those placed since.
+    allowance
+        Flows that this balancer may still place on what was announced.
+    load
+        Reported load, smoothed.
+    shed_penalty
+        Part by which the server counts as more used, for requests it shed.
+    ready_at
+        When a cold start ended; a slow start follows.
+    open_share
+        Share of the new flows that may go to the server.
+    unanswered_opens
+        Openings since any packet of the server was last seen.
+    ejected_until
+        When the server may be tried again after it stopped answering.
+    is_silent
+        Whether its announcements ceased.
     """
 
     announced: BackendServer
     heard_at: float
     held_flows: int = 0
+    held_by_member: dict[str, int] = {}
+    heard_here: bool = False
+    held_told: int = 0
+    placed: list[Placed] = []
+    placed_in_tick: int = 0
+    placed_since: int = 0
+    connections: int = 0
+    allowance: int = 0
+    load: float = 0
+    shed_penalty: float = 0
+    ready_at: float = -math.inf
+    open_share: float = 1
+    unanswered_opens: int = 0
+    ejected_until: float = -math.inf
+    is_silent: bool = False
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -23,6 +23,9 @@
         Decisions by ``(service, outcome)``.
     reports_by_member
         Latest bucket reports; kept by the coordinator of the group.
+    digest_at
+        Reading of the local monotonic clock, in seconds, at which the next
+        digest of backend servers is due.
     lease_until
         Reading of the local monotonic clock, in seconds, up to which this
         balancer may act as an owner.
@@ -42,5 +45,7 @@
     reports_by_member: dict[str, tuple[BucketReport, ...]] = field(
         default_factory=dict
     )
+    digest_at: float = 0
+    digests: int = 0
     lease_until: float = math.inf
     stopping: bool = False
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -20,6 +20,8 @@
 TICK: Final = timedelta(milliseconds=100)
 ANNOUNCE_INTERVAL: Final = timedelta(milliseconds=500)
 ANNOUNCE_LIFETIME: Final = timedelta(seconds=3)
+BACKEND_KEPT: Final = timedelta(minutes=10)
+SLOW_START: Final = timedelta(seconds=10)
 REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
 LONG_POLL: Final = timedelta(seconds=5)
 STOP_BOUND: Final = timedelta(seconds=10)
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mustardhold.tables.backends import BackendServer
+from mustardhold.tables.backends import BackendRow, BackendServer
 from mustardhold.tables.packets import FlowKey, Packet
 
 
@@ -54,4 +54,32 @@
     backend: BackendServer
 
 
-PeerMessage = Relay | RecordChain | FlowClosed | BackendShared
+class BackendDigest(msgspec.Struct, array_like=True, tag=60, frozen=True):
+    """What a balancer lately heard of backend servers, and holds on them.
+
+    Attributes
+    ----------
+    held_by_id
+        Flows that the sender holds as primary owner, by server.
+    """
+
+    sender_id: str
+    rows: tuple[BackendRow, ...]
+    held_by_id: dict[str, int]
+
+
+class BackendsAsked(msgspec.Struct, array_like=True, tag=61, frozen=True):
+    """Asks for the whole announcements of servers."""
+
+    sender_id: str
+    backend_ids: tuple[str, ...]
+
+
+PeerMessage = (
+    Relay
+    | RecordChain
+    | FlowClosed
+    | BackendShared
+    | BackendDigest
+    | BackendsAsked
+)
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,203 @@
+"""Announcements, digests, health and slow start of backend servers."""
+
+import msgspec
+import pytest
+
+from mustardhold.systems.announcements import take_announced
+from mustardhold.systems.choice import choose_server
+from mustardhold.systems.digests import take_digest, tick_backends
+from mustardhold.systems.health import note_backend_packet
+from mustardhold.systems.peers import take_peer_message
+from mustardhold.tables.backends import BackendServer, BackendState
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import BACKEND_KEPT
+from mustardhold.tables.flows import FlowRecord
+from mustardhold.tables.packets import Opened
+from mustardhold.tables.peers import BackendDigest, BackendShared
+from mustardhold.tables.routing import Pool
+from mustardhold.tables.views import Member, View
+
+POOL = Pool('werkstatt')
+
+
+def make_tables(name: str = 'b1', members: int = 1) -> BalancerTables:
+    names = [f'b{number}' for number in range(1, members + 1)]
+    view = View(1, {one: Member(one, 'dc', '127.0.0.1:1') for one in names})
+    return BalancerTables(name, 'dc', view)
+
+
+def server(number: int = 1, sequence: int = 1, **changes) -> BackendServer:
+    announced = BackendServer(
+        f's{number}',
+        'werkstatt',
+        'dc',
+        '127.0.0.1:9',
+        2,
+        2000,
+        0,
+        0,
+        BackendState.READY,
+        1,
+        sequence,
+    )
+    return msgspec.structs.replace(announced, **changes)
+
+
+def announce(tables, now, *announced):
+    outbox = []
+    for one in announced:
+        take_announced(tables, now, one, outbox)
+    return outbox
+
+
+def tick(tables, now):
+    outbox = []
+    tick_backends(tables, now, outbox)
+    return [send.message for send in outbox]
+
+
+def chosen_ids(tables, count=200):
+    chosen = [
+        choose_server(tables, POOL, number.to_bytes(12, 'big'))
+        for number in range(count)
+    ]
+    return {one.announced.backend_id for one in chosen if one is not None}
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'sequence', 'is_taken'),
+    [(1, 5, False), (1, 4, False), (0, 9, False), (1, 6, True), (2, 1, True)],
+)
+def test_repeated_and_older_reports_change_nothing(
+    incarnation, sequence, is_taken
+):
+    tables = make_tables()
+    announce(tables, 0, server(sequence=5, connections=7))
+    later = server(sequence=sequence, incarnation=incarnation, connections=100)
+    announce(tables, 0.1, later)
+    known = tables.backends_by_id['s1'].announced
+    assert (known.connections == 100) is is_taken
+
+
+def test_server_that_lost_its_count_is_heard_after_silence():
+    tables = make_tables()
+    announce(tables, 0, server(incarnation=9, sequence=9))
+    announce(tables, 2, server(connections=5))
+    assert tables.backends_by_id['s1'].announced.incarnation == 9
+    announce(tables, 3.5, server(connections=5))
+    assert tables.backends_by_id['s1'].announced.connections == 5
+
+
+def test_only_changes_of_state_are_shared_at_once():
+    tables = make_tables(members=3)
+    assert len(announce(tables, 0, server())) == 2
+    assert announce(tables, 0.5, server(sequence=2, connections=9)) == []
+    draining = server(sequence=3, state=BackendState.DRAINING)
+    shared = announce(tables, 1, draining)
+    assert [send.message for send in shared] == [BackendShared(draining)] * 2
+
+
+def test_digest_repairs_a_lost_announcement():
+    first, second = make_tables('b1', 2), make_tables('b2', 2)
+    announce(first, 0, server(connections=3))
+    [digest] = tick(first, 0.5)
+    asks = []
+    take_digest(second, 0.5, digest, asks)
+    answers = []
+    take_peer_message(first, 0.6, asks[0].message, answers)
+    [answer] = answers
+    assert answer.instance_id == 'b2'
+    take_peer_message(second, 0.7, answer.message, [])
+    assert second.backends_by_id['s1'].announced.connections == 3
+
+
+def test_digest_carries_a_drain_whose_announcement_was_lost():
+    first, second = make_tables('b1', 2), make_tables('b2', 2)
+    for tables in (first, second):
+        announce(tables, 0, server())
+    announce(first, 1, server(sequence=2, state=BackendState.DRAINING))
+    [digest] = tick(first, 1.1)
+    take_digest(second, 1.2, digest, [])
+    known = second.backends_by_id['s1'].announced
+    assert known.state is BackendState.DRAINING
+
+
+def test_silent_server_gets_no_flow_and_stays_known_while_recorded():
+    tables = make_tables()
+    tables.flows_by_key[b'f'] = FlowRecord('werkstatt', 's1', is_primary=True)
+    announce(tables, 0, server(1), server(2))
+    kept = BACKEND_KEPT.total_seconds()
+    for now in (3.5, kept + 1):
+        announce(tables, now, server(2, int(now) + 1))
+        tick(tables, now)
+        assert chosen_ids(tables) == {'s2'}
+        assert 's1' in tables.backends_by_id
+    tables.flows_by_key.clear()
+    now = 2 * kept
+    announce(tables, now, server(2, int(now)))
+    tick(tables, now)
+    assert 's1' not in tables.backends_by_id
+
+
+def test_balancer_that_hears_no_server_keeps_the_last_known():
+    tables = make_tables()
+    announce(tables, 0, server(1), server(2))
+    tick(tables, 60)
+    assert chosen_ids(tables) == {'s1', 's2'}
+    assert tables.counters['werkstatt', 'silence-suspected-here']
+
+
+def test_at_most_half_of_a_pool_is_silent_until_it_is_confirmed():
+    tables = make_tables()
+    announce(tables, 0, *(server(number) for number in range(1, 5)))
+    announce(tables, 3, server(4, 2))
+    tick(tables, 3.5)
+    silent = [known.is_silent for known in tables.backends_by_id.values()]
+    assert sum(silent) == 2
+    announce(tables, 11, server(4, 3))
+    tick(tables, 11)
+    assert chosen_ids(tables) == {'s4'}
+
+
+def test_server_that_answers_no_opening_is_ejected_within_a_bound():
+    tables = make_tables()
+    announce(tables, 0, *(server(number) for number in range(1, 5)))
+    for known in tables.backends_by_id.values():
+        known.unanswered_opens = 100
+    tick(tables, 0.1)
+    assert len(chosen_ids(tables)) == 2
+    for backend_id in ('s1', 's2', 's3', 's4'):
+        note_backend_packet(tables, Opened(b'f' * 12, backend_id))
+    tick(tables, 0.2)
+    assert len(chosen_ids(tables)) == 4
+
+
+def test_server_starts_slowly_after_a_cold_start():
+    tables = make_tables()
+    announce(tables, 0, server(1, connections=900))
+    announce(tables, 0, server(2, state=BackendState.STARTING))
+    assert chosen_ids(tables) == {'s1'}
+    announce(tables, 1, server(2, 2), server(1, 2, connections=900))
+    shares = []
+    for now in (1.1, 6, 11.1):
+        tick(tables, now)
+        shares.append(tables.backends_by_id['s2'].open_share)
+    assert shares[0] < 0.1 < shares[1] < shares[2] == 1
+
+
+def test_own_data_centre_goes_first_and_spills_when_it_is_full():
+    tables = make_tables()
+    announce(tables, 0, server(1, connections=1900))
+    announce(tables, 0, server(2, data_centre='far'))
+    assert chosen_ids(tables) == {'s1'}
+    announce(tables, 0.5, server(1, 2, connections=2000))
+    assert chosen_ids(tables) == {'s2'}
+
+
+def test_flows_held_by_others_outweigh_a_report_that_is_too_low():
+    tables = make_tables(members=2)
+    announce(tables, 0, server(1), server(2))
+    digest = BackendDigest('b2', (), {'s1': 1999})
+    take_digest(tables, 0, digest, [])
+    tick(tables, 0.1)
+    assert chosen_ids(tables) == {'s2'}
--- a/tools/fakes/naive.py
+++ b/tools/fakes/naive.py
@@ -4,7 +4,8 @@
 
 import xxhash
 
-from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.digests import tick_backends
+from mustardhold.systems.peers import take_peer_message
 from mustardhold.systems.routing import open_servers, service_of
 from mustardhold.tables.backends import KnownBackend
 from mustardhold.tables.balancer import BalancerTables
@@ -14,9 +15,15 @@
     BackendPacket,
     CallerPacket,
     Close,
+    Open,
     OpenRefused,
 )
-from mustardhold.tables.peers import BackendShared, PeerMessage
+from mustardhold.tables.peers import (
+    BackendDigest,
+    BackendsAsked,
+    BackendShared,
+    PeerMessage,
+)
 from tools.fakes.fleet import Logic
 
 
@@ -90,7 +97,32 @@
             )
         send_on(packet, known, outbox)
 
-    return Logic(take, pass_backend_packet, take_shared, no_tick)
+    return Logic(take, pass_backend_packet, take_shared, tick_backends)
+
+
+def report_caller_packet(
+    tables: BalancerTables, _: float, packet: CallerPacket, outbox: Outbox
+) -> None:
+    """Believe the reports: place where the fewest connections are reported."""
+    record = tables.flows_by_key.get(packet.flow)
+    known = tables.backends_by_id.get(record.backend_id) if record else None
+    if known is None:
+        servers = [
+            server
+            for server in servers_for(tables, packet.flow)
+            if server.announced.connections < server.announced.connection_limit
+        ]
+        known = min(
+            servers,
+            key=lambda server: server.announced.connections,
+            default=None,
+        )
+    if known is not None and isinstance(packet, Open):
+        backend_id = known.announced.backend_id
+        tables.flows_by_key[packet.flow] = FlowRecord(
+            '', backend_id, is_primary=True
+        )
+    send_on(packet, known, outbox)
 
 
 def pass_backend_packet(
@@ -101,20 +133,19 @@
 
 
 def take_shared(
-    tables: BalancerTables, now: float, message: PeerMessage, _: Outbox
+    tables: BalancerTables, now: float, message: PeerMessage, outbox: Outbox
 ) -> None:
     """Learn of servers from other balancers; ignore the rest."""
-    if isinstance(message, BackendShared):
-        take_announcement(tables, now, message.backend)
-
-
-def no_tick(_: BalancerTables, now: float, outbox: Outbox) -> None:
-    """Do nothing as time passes."""
+    if isinstance(message, BackendShared | BackendDigest | BackendsAsked):
+        take_peer_message(tables, now, message, outbox)
 
 
 HASH_ALONE = Logic(
-    hash_caller_packet, pass_backend_packet, take_shared, no_tick
+    hash_caller_packet, pass_backend_packet, take_shared, tick_backends
 )
 TABLE_EACH = Logic(
-    table_caller_packet, pass_backend_packet, take_shared, no_tick
+    table_caller_packet, pass_backend_packet, take_shared, tick_backends
+)
+REPORTS_BELIEVED = Logic(
+    report_caller_packet, pass_backend_packet, take_shared, tick_backends
 )
--- a/tools/fakes/servers.py
+++ b/tools/fakes/servers.py
@@ -37,8 +37,10 @@
         Time that a request occupies a slot.
     queue_limit
         Requests that wait for a slot before the server sheds.
-    claimed_load
-        Load that the server reports in place of its own, if any.
+    claimed_load, claimed_connections
+        What the server reports in place of its own figures, if anything.
+    lag_reports
+        Announcements by which the reported connections are late.
     refused_opens
         Openings that arrived while the server was full.
     foreign_packets
@@ -56,6 +58,9 @@
     announce_seconds: float = 0.5
     state: BackendState = BackendState.READY
     claimed_load: float | None = None
+    claimed_connections: int | None = None
+    lag_reports: int = 0
+    past_connections: list[int] = field(default_factory=list)
     incarnation: int = 1
     alive: bool = True
     busy: int = 0
@@ -80,13 +85,21 @@
             self.address,
             self.slots,
             self.connection_limit,
-            len(self.flows),
+            self.reported_connections(),
             min(load, 1) if claimed is None else claimed,
             self.state,
             self.incarnation,
             next(self.sequences),
         )
 
+    def reported_connections(self) -> int:
+        """Count the flows as the server reports them."""
+        if self.claimed_connections is not None:
+            return self.claimed_connections
+        kept = [*self.past_connections, len(self.flows)]
+        self.past_connections = kept[-self.lag_reports - 1 :]
+        return self.past_connections[0]
+
 
 def make_servers(
     pool: str, count: int, data_centre: str = 'dc-1', slots: int = 2
--- /dev/null
+++ b/tools/proofs/lying_report.py
@@ -0,0 +1,61 @@
+"""A server that lies about its load shifts no more than a small share."""
+
+from tools.fakes.event_queue import run_until
+from tools.fakes.fleet import PRODUCT, make_fleet
+from tools.fakes.naive import REPORTS_BELIEVED
+from tools.fakes.servers import FakeServer, make_servers
+from tools.fakes.traffic import FlowNumbers, Traffic, start_traffic
+from tools.registry import Proof, Violation
+
+BALANCERS = ('b1', 'b2', 'b3', 'b4', 'b5')
+HOSTS = 7
+OPENINGS_PER_SECOND = 120
+FLOW_SECONDS = 60
+END = 15.0
+MAX_IMBALANCE = 1.1
+
+
+def lie(server: FakeServer, seed: int) -> None:
+    """Let a server report that it is idle, or all busy."""
+    if seed % 3 == 0:
+        server.claimed_load = 1
+    else:
+        server.claimed_load = 0
+        server.claimed_connections = 0
+
+
+def run_lying_report(seed: int, *, naive: bool) -> list[Violation]:
+    """Fill a pool in which one server lies and another one reports late."""
+    logic = REPORTS_BELIEVED if naive else PRODUCT
+    servers = make_servers('order-desk', HOSTS, slots=3)
+    lie(servers[seed % HOSTS], seed)
+    servers[(seed + 1) % HOSTS].lag_reports = 4
+    fleet = make_fleet(seed, logic, BALANCERS, servers)
+    traffic = Traffic(
+        'order-desk',
+        openings_per_second=OPENINGS_PER_SECOND,
+        flow_seconds=FLOW_SECONDS,
+        upload_seconds=END,
+    )
+    start_traffic(fleet, traffic, END, FlowNumbers())
+    run_until(fleet.queue, END)
+    counts = [len(server.flows) for server in servers]
+    imbalance = max(counts) * HOSTS / max(sum(counts), 1)
+    if imbalance <= MAX_IMBALANCE:
+        return []
+    return [
+        Violation(
+            'the load is spread fairly across the backend servers',
+            f'connections {counts}: max over mean is {imbalance:.3f}',
+        )
+    ]
+
+
+PROOFS = (
+    Proof(
+        'lying-report',
+        'a lying or late report keeps imbalance at 1.10 or less',
+        run_lying_report,
+        ci_seeds=3,
+    ),
+)
