Plan placements of settled buckets

Cause: every packet of every flow went through its owner.

Change: the coordinator's plan gives each bucket of an affinity-first pool a base, balanced by capacity; a bucket goes settled, moving, opened elsewhere and back, each step after the one before is acknowledged. Causes: the base gets no new flows, is near full or overloaded, or has more than its fair part. A base is replaced once it holds no flow. Balance-first pools never settle.

Ruled out: new bases while the old one holds flows that have no record.

--- a/src/mustardhold/systems/announcements.py
+++ b/src/mustardhold/systems/announcements.py
@@ -68,6 +68,7 @@
             tables.counters[announced.pool, 'announcement-table-full'] += 1
             return False
         known = KnownBackend(announced, now - age, load=announced.load)
+        known.known_since = now
         tables.backends_by_id[announced.backend_id] = known
     note_state(known, announced, now)
     known.announced = announced
--- a/src/mustardhold/systems/capacity.py
+++ b/src/mustardhold/systems/capacity.py
@@ -58,7 +58,6 @@
 
 def note_placed(known: KnownBackend) -> None:
     """Count a flow that was placed on a server."""
-    known.held_flows += 1
     known.placed_in_tick += 1
     known.placed_since += 1
     known.allowance -= 1
--- a/src/mustardhold/systems/digests.py
+++ b/src/mustardhold/systems/digests.py
@@ -8,6 +8,7 @@
     decay_penalty,
     forget_backends,
     judge_servers,
+    note_closed,
 )
 from mustardhold.systems.slow_start import update_open_share
 from mustardhold.tables.backends import (
@@ -35,6 +36,7 @@
     """Judge the servers and tell the other balancers what was heard."""
     judge_servers(tables, now)
     for known in tables.backends_by_id.values():
+        note_closed(tables, now, known)
         update_open_share(known, now)
         decay_penalty(known)
         close_tick(tables, now, known)
--- a/src/mustardhold/systems/health.py
+++ b/src/mustardhold/systems/health.py
@@ -1,7 +1,9 @@
 """Which backend servers get no new flows for what was seen of them."""
 
+import math
 from collections import defaultdict
 
+from mustardhold.systems.routing import is_open
 from mustardhold.tables.backends import KnownBackend
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import ANNOUNCE_LIFETIME, BACKEND_KEPT
@@ -95,6 +97,17 @@
     return known.is_silent or now < known.ejected_until
 
 
+def note_closed(
+    tables: BalancerTables, now: float, known: KnownBackend
+) -> None:
+    """Keep since when a server gets no new flows for its state or an edit."""
+    pool = tables.routing.pools_by_name.get(known.announced.pool)
+    if pool is not None and is_open(pool, known):
+        known.closed_since = math.inf
+    else:
+        known.closed_since = min(known.closed_since, now)
+
+
 def decay_penalty(known: KnownBackend) -> None:
     """Forgive shed requests as time passes."""
     known.shed_penalty *= PENALTY_KEPT_PER_TICK
--- a/src/mustardhold/systems/opening.py
+++ b/src/mustardhold/systems/opening.py
@@ -1,15 +1,18 @@
 """Places new flows on backend servers."""
 
 from mustardhold.systems.capacity import note_placed
-from mustardhold.systems.choice import choose_server
+from mustardhold.systems.choice import choose_server, may_take
+from mustardhold.systems.hashing import bucket_of
 from mustardhold.systems.records import pass_chain
 from mustardhold.systems.routing import service_of
+from mustardhold.tables.backends import KnownBackend
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import MAX_FLOW_RECORDS
 from mustardhold.tables.flows import FlowRecord
-from mustardhold.tables.outbox import Outbox, ToCaller
+from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller
 from mustardhold.tables.packets import Open, OpenRefused
 from mustardhold.tables.peers import RecordChain
+from mustardhold.tables.routing import Pool
 
 
 def open_flow(
@@ -46,17 +49,45 @@
     if len(tables.flows_by_key) >= MAX_FLOW_RECORDS:
         refuse_open(tables, packet.flow, service, 'table-full', outbox)
         return None
-    chosen = choose_server(tables, pool, packet.flow)
+    chosen = choose_for_bucket(tables, pool, packet.flow)
     if chosen is None:
         refuse_open(tables, packet.flow, service, 'no-capacity', outbox)
         return None
     note_placed(chosen)
+    chosen.held_flows += 1
     record = FlowRecord(service, chosen.announced.backend_id, is_primary=True)
     tables.flows_by_key[packet.flow] = record
     tables.counters[service, 'opened'] += 1
     return record
 
 
+def choose_for_bucket(
+    tables: BalancerTables, pool: Pool, flow: bytes
+) -> KnownBackend | None:
+    """Choose the base of a flow's bucket, or any server if it lets."""
+    placement = tables.placements.placements_by_pool.get(pool.name)
+    bucket = bucket_of(flow)
+    if placement is None or bucket in placement.opened_elsewhere:
+        return choose_server(tables, pool, flow)
+    base = tables.backends_by_id.get(placement.bases[bucket])
+    return base if base is not None and may_take(base) else None
+
+
+def open_settled(
+    tables: BalancerTables, packet: Open, base: KnownBackend, outbox: Outbox
+) -> None:
+    """Send an opening of a settled bucket to its base, which needs no record.
+
+    A caller may repeat an opening; each counts as a flow.
+    """
+    if not may_take(base):
+        pool = base.announced.pool
+        refuse_open(tables, packet.flow, pool, 'no-capacity', outbox)
+        return
+    note_placed(base)
+    outbox.append(ToBackend(base.announced.address, packet))
+
+
 def refuse_open(
     tables: BalancerTables,
     flow: bytes,
--- a/src/mustardhold/systems/ownership.py
+++ b/src/mustardhold/systems/ownership.py
@@ -6,7 +6,11 @@
 
 def owners_for(tables: BalancerTables, flow: bytes) -> tuple[str, ...]:
     """Find the owners of a flow's bucket in the view in force."""
-    bucket = bucket_of(flow)
+    return owners_of_bucket(tables, bucket_of(flow))
+
+
+def owners_of_bucket(tables: BalancerTables, bucket: int) -> tuple[str, ...]:
+    """Find the owners of a bucket in the view in force."""
     owners = tables.owners_by_bucket.get(bucket)
     if owners is None:
         owners = owners_of(bucket, tables.view.members_by_id)
--- a/src/mustardhold/systems/routing.py
+++ b/src/mustardhold/systems/routing.py
@@ -44,13 +44,18 @@
     )
 
 
+def is_open(pool: Pool, known: KnownBackend) -> bool:
+    """Tell whether a server may take new flows of a pool."""
+    announced = known.announced
+    return (
+        announced.state is BackendState.READY
+        and announced.backend_id not in pool.drained
+        and is_member(pool, known)
+    )
+
+
 def open_servers(tables: BalancerTables, pool: Pool) -> Iterator[KnownBackend]:
     """Yield the servers that may take new flows of a pool."""
     for known in tables.backends_by_id.values():
-        announced = known.announced
-        if (
-            announced.state is BackendState.READY
-            and announced.backend_id not in pool.drained
-            and is_member(pool, known)
-        ):
+        if is_open(pool, known):
             yield known
--- a/src/mustardhold/systems/slow_start.py
+++ b/src/mustardhold/systems/slow_start.py
@@ -8,6 +8,7 @@
 from mustardhold.tables.constants import SLOW_START
 
 FIRST_SHARE = 0.05
+CLOSING_SECONDS = 0.5
 
 
 def note_state(
@@ -25,7 +26,8 @@
 
 def update_open_share(known: KnownBackend, now: float) -> None:
     """Set the share of new flows that may go to a server."""
-    if known.is_silent or now < known.ejected_until:
+    is_closed = now - known.closed_since > CLOSING_SECONDS
+    if is_closed or known.is_silent or now < known.ejected_until:
         known.open_share = 0
         return
     warm = (now - known.ready_at) / SLOW_START.total_seconds()
--- a/src/mustardhold/tables/backends.py
+++ b/src/mustardhold/tables/backends.py
@@ -107,6 +107,10 @@
         Reported load, smoothed.
     shed_penalty
         Part by which the server counts as more used, for requests it shed.
+    known_since
+        When the server was first heard of.
+    closed_since
+        When it was seen to get no new flows, for its state or an edit.
     ready_at
         When a cold start ended; a slow start follows.
     open_share
@@ -132,6 +136,8 @@
     allowance: int = 0
     load: float = 0
     shed_penalty: float = 0
+    known_since: float = 0
+    closed_since: float = math.inf
     ready_at: float = -math.inf
     open_share: float = 1
     unanswered_opens: int = 0
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -26,6 +26,9 @@
     digest_at
         Reading of the local monotonic clock, in seconds, at which the next
         digest of backend servers is due.
+    next_plan_at
+        Reading of the local monotonic clock, in seconds, from which on the
+        coordinator plans again.
     lease_until
         Reading of the local monotonic clock, in seconds, up to which this
         balancer may act as an owner.
@@ -47,5 +50,6 @@
     )
     digest_at: float = 0
     digests: int = 0
+    next_plan_at: float = 0
     lease_until: float = math.inf
     stopping: bool = False
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,13 +8,14 @@
 from mustardhold.systems.digests import take_digest, tick_backends
 from mustardhold.systems.health import note_backend_packet
 from mustardhold.systems.peers import take_peer_message
+from mustardhold.systems.routing import install_table
 from mustardhold.tables.backends import BackendServer, BackendState
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import BACKEND_KEPT
 from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.packets import Opened
 from mustardhold.tables.peers import BackendDigest, BackendShared
-from mustardhold.tables.routing import Pool
+from mustardhold.tables.routing import Pool, RoutingTable
 from mustardhold.tables.views import Member, View
 
 POOL = Pool('werkstatt')
@@ -23,7 +24,9 @@
 def make_tables(name: str = 'b1', members: int = 1) -> BalancerTables:
     names = [f'b{number}' for number in range(1, members + 1)]
     view = View(1, {one: Member(one, 'dc', '127.0.0.1:1') for one in names})
-    return BalancerTables(name, 'dc', view)
+    tables = BalancerTables(name, 'dc', view)
+    install_table(tables, RoutingTable(1, {}, {POOL.name: POOL}, {}))
+    return tables
 
 
 def server(number: int = 1, sequence: int = 1, **changes) -> BackendServer:
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,219 @@
+"""Buckets settle, move and change their base one step at a time."""
+
+from collections import Counter
+
+import msgspec
+import pytest
+
+from mustardhold.systems.addresses import pack_address
+from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.bases import assign_bases, fair_counts
+from mustardhold.systems.digests import tick_backends
+from mustardhold.systems.hashing import bucket_of
+from mustardhold.systems.placement import plan_placements, report_buckets
+from mustardhold.systems.routing import install_table
+from mustardhold.tables.backends import BackendServer, BackendState
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import BUCKETS_PER_POOL
+from mustardhold.tables.flows import FlowRecord
+from mustardhold.tables.routing import Pool, Route, RoutingTable, Weighting
+from mustardhold.tables.views import Member, View
+
+SERVICE = '10.20.0.1:443'
+ALL = frozenset(range(BUCKETS_PER_POOL))
+
+
+class Group:
+    """One balancer that coordinates itself, and its servers."""
+
+    def __init__(self, weighting=Weighting.AFFINITY, servers=4):
+        view = View(1, {'b1': Member('b1', 'dc', '127.0.0.1:1')})
+        self.tables = BalancerTables('b1', 'dc', view)
+        self.now = 0.0
+        self.sequence = 0
+        self.servers = {f's{number}': {} for number in range(servers)}
+        self.install(1, Pool('werkstatt', weighting=weighting))
+
+    def install(self, version, pool):
+        """Put an edited pool in force."""
+        route = Route('werkstatt', (SERVICE,))
+        table = RoutingTable(
+            version, {'werkstatt': route}, {'werkstatt': pool}, {}
+        )
+        install_table(self.tables, table)
+
+    def step(self, seconds=1.1, acknowledged=None):
+        """Let the servers announce, then plan."""
+        self.now += seconds
+        self.sequence += 1
+        for name, changes in self.servers.items():
+            announced = BackendServer(
+                name,
+                'werkstatt',
+                'dc',
+                '127.0.0.1:9',
+                2,
+                2000,
+                0,
+                0,
+                BackendState.READY,
+                1,
+                self.sequence,
+            )
+            announced = msgspec.structs.replace(announced, **changes)
+            take_announcement(self.tables, self.now, announced)
+        tick_backends(self.tables, self.now, [])
+        version = self.tables.placements.version
+        self.tables.placements = plan_placements(
+            self.tables,
+            self.now,
+            version if acknowledged is None else acknowledged,
+        )
+        return self.tables.placements.placements_by_pool.get('werkstatt')
+
+    def steps(self, count):
+        """Step on, and return what is in force then."""
+        for _ in range(count):
+            placement = self.step()
+        return placement
+
+    def buckets_at(self, placement, base):
+        """List the buckets of a base."""
+        return {
+            bucket
+            for bucket, other in enumerate(placement.bases)
+            if other == base
+        }
+
+
+def flow_in(bucket):
+    for number in range(1, 60_000):
+        flow = pack_address(f'127.0.0.1:{number}') + pack_address(SERVICE)
+        if bucket_of(flow) == bucket:
+            return flow
+    raise AssertionError(bucket)
+
+
+@pytest.mark.parametrize(
+    'limits',
+    [
+        {'a': 2000},
+        dict.fromkeys('abcdefg', 2000),
+        {'a': 100, 'b': 300},
+        {'a': 1, 'b': 1000, 'c': 1000},
+    ],
+)
+def test_buckets_are_shared_out_by_capacity(limits):
+    counts = Counter(assign_bases(limits))
+    total = sum(limits.values())
+    assert sum(fair_counts(limits).values()) == BUCKETS_PER_POOL
+    for name, limit in limits.items():
+        assert abs(counts[name] - BUCKETS_PER_POOL * limit / total) < 1
+
+
+def test_pool_settles_once_its_servers_were_heard():
+    group = Group()
+    assert group.step() is None
+    placement = group.steps(6)
+    assert placement.moving == frozenset()
+    assert set(placement.bases) == set(group.servers)
+
+
+def test_pool_that_weighs_balance_first_never_settles():
+    group = Group(Weighting.BALANCE)
+    assert group.steps(8) is None
+
+
+def test_change_to_balance_keeps_the_bases_of_unrecorded_flows():
+    group = Group()
+    before = group.steps(7)
+    group.install(2, Pool('werkstatt', weighting=Weighting.BALANCE))
+    placement = group.steps(3)
+    assert placement.bases == before.bases
+    assert placement.opened_elsewhere == ALL
+
+
+def test_drained_server_is_left_in_two_acknowledged_steps():
+    group = Group()
+    group.steps(7)
+    group.servers['s1'] = {'state': BackendState.DRAINING, 'connections': 5}
+    prepared = group.step()
+    buckets = group.buckets_at(prepared, 's1')
+    assert prepared.moving >= buckets
+    assert not prepared.opened_elsewhere & buckets
+    version = group.tables.placements.version
+    waiting = group.step(acknowledged=version - 1)
+    assert not waiting.opened_elsewhere & buckets
+    committed = group.step()
+    assert committed.opened_elsewhere >= buckets
+    assert group.buckets_at(committed, 's1') == buckets
+
+
+def test_base_changes_only_once_it_holds_no_flow():
+    group = Group()
+    group.steps(7)
+    group.servers['s1'] = {'state': BackendState.DRAINING, 'connections': 1}
+    placement = group.steps(8)
+    assert 's1' in placement.bases
+    group.servers['s1'] = {'state': BackendState.DRAINING}
+    placement = group.steps(8)
+    assert 's1' not in placement.bases
+    assert placement.moving == frozenset()
+
+
+def test_returning_server_gets_its_buckets_back_when_none_is_elsewhere():
+    group = Group()
+    before = group.steps(7)
+    group.servers['s1'] = {'state': BackendState.DRAINING, 'connections': 5}
+    committed = group.steps(3)
+    bucket = min(group.buckets_at(committed, 's1'))
+    flow = flow_in(bucket)
+    group.tables.flows_by_key[flow] = FlowRecord(
+        'werkstatt', 's2', is_primary=True
+    )
+    group.servers['s1'] = {'connections': 5}
+    placement = group.steps(6)
+    assert placement.moving == {bucket}
+    assert not placement.opened_elsewhere
+    assert not report_buckets(group.tables)
+    group.tables.flows_by_key.clear()
+    placement = group.steps(2)
+    assert placement == before
+
+
+def test_joining_server_gets_openings_of_a_fair_part():
+    group = Group()
+    for name in group.servers:
+        group.servers[name] = {'connections': 40}
+    group.steps(7)
+    group.servers['s9'] = {}
+    placement = group.steps(8)
+    counts = Counter(
+        placement.bases[bucket] for bucket in placement.opened_elsewhere
+    )
+    assert sum(counts.values()) in {51, 52}
+    assert max(counts.values()) - min(counts.values()) <= 1
+
+
+@pytest.mark.parametrize(
+    ('connections', 'is_moved'), [(1600, False), (1750, True)]
+)
+def test_server_near_its_limit_is_left(connections, is_moved):
+    group = Group()
+    group.steps(7)
+    for name in group.servers:
+        group.servers[name] = {'connections': connections}
+    placement = group.steps(3)
+    assert bool(placement.opened_elsewhere) is is_moved
+
+
+def test_overloaded_server_is_left_in_part():
+    group = Group()
+    group.steps(7)
+    for name in group.servers:
+        group.servers[name] = {'connections': 900}
+    group.servers['s1'] = {'connections': 1020}
+    placement = group.steps(3)
+    moved = placement.opened_elsewhere
+    assert 0 < len(moved) < len(group.buckets_at(placement, 's1'))
+    assert moved <= group.buckets_at(placement, 's1')
