--- a/src/mustardhold/systems/announcements.py
+++ b/src/mustardhold/systems/announcements.py
@@ -69,6 +69,7 @@
             return False
         known = KnownBackend(announced, now - age, load=announced.load)
         known.known_since = now
+        known.is_near = is_near(tables, announced)
         tables.backends_by_id[announced.backend_id] = known
     note_state(known, announced, now)
     known.announced = announced
@@ -79,6 +80,14 @@
     return True
 
 
+def is_near(tables: BalancerTables, announced: BackendServer) -> bool:
+    """Tell whether a server's data centre holds a balancer of the view."""
+    return any(
+        member.data_centre == announced.data_centre
+        for member in tables.view.members_by_id.values()
+    )
+
+
 def make_space(tables: BalancerTables) -> bool:
     """Keep the table within its limit; a silent, unused server goes first."""
     if len(tables.backends_by_id) < MAX_BACKEND_SERVERS:
--- a/src/mustardhold/systems/choice.py
+++ b/src/mustardhold/systems/choice.py
@@ -47,17 +47,16 @@
 def choose_server(
     tables: BalancerTables, pool: Pool, flow: bytes
 ) -> KnownBackend | None:
-    """Choose the least used server, in the own data centre where one has room.
+    """Choose the least used server, in a near data centre where one has room.
+
+    Near are the data centres of the balancers in the view in force: the own
+    one, or all that a group spans and that can be reached.
 
     Ties are broken by a hash of the flow, so that balancers which know the
     same choose the same.
     """
     servers = list(open_servers(tables, pool))
-    near = [
-        known
-        for known in servers
-        if known.announced.data_centre == tables.data_centre
-    ]
+    near = [known for known in servers if known.is_near]
     for candidates in (near, servers):
         admitted = [known for known in candidates if has_room(known, flow)]
         able = admitted or list(filter(may_take, candidates))
--- a/src/mustardhold/systems/digests.py
+++ b/src/mustardhold/systems/digests.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.announcements import is_near, take_announcement
 from mustardhold.systems.capacity import close_tick
 from mustardhold.systems.health import (
     decay_penalty,
@@ -37,6 +37,7 @@
     judge_servers(tables, now)
     for known in tables.backends_by_id.values():
         note_closed(tables, now, known)
+        known.is_near = is_near(tables, known.announced)
         update_open_share(known, now)
         decay_penalty(known)
         close_tick(tables, now, known)
--- a/src/mustardhold/systems/placement_causes.py
+++ b/src/mustardhold/systems/placement_causes.py
@@ -40,11 +40,15 @@
 
 
 def usable_servers(tables: BalancerTables, pool: Pool) -> list[KnownBackend]:
-    """List the servers that may take new flows, ordered by id."""
+    """List the servers that may take new flows, ordered by id.
+
+    Far ones are left out as long as there is a near one.
+    """
     usable = [
         known for known in open_servers(tables, pool) if known.open_share > 0
     ]
-    return sorted(usable, key=lambda known: known.announced.backend_id)
+    near = [known for known in usable if known.is_near]
+    return sorted(near or usable, key=lambda known: known.announced.backend_id)
 
 
 def pool_state(
--- a/src/mustardhold/tables/backends.py
+++ b/src/mustardhold/tables/backends.py
@@ -119,6 +119,8 @@
         Openings since any packet of the server was last seen.
     ejected_until
         When the server may be tried again after it stopped answering.
+    is_near
+        Whether its data centre holds a balancer of the view in force.
     is_silent
         Whether its announcements ceased.
     """
@@ -142,4 +144,5 @@
     open_share: float = 1
     unanswered_opens: int = 0
     ejected_until: float = -math.inf
+    is_near: bool = True
     is_silent: bool = False
--- /dev/null
+++ b/tools/fakes/trial.py
@@ -0,0 +1,247 @@
+"""One service under steady load, through three changes of its pool."""
+
+import functools
+import random
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from mustardhold.systems.routing import install_table
+from mustardhold.tables.backends import BackendState
+from mustardhold.tables.routing import Pool, Weighting
+from mustardhold.tables.views import Member, View
+from tools.fakes.deployments import Service, servers_of
+from tools.fakes.event_queue import run_until, schedule
+from tools.fakes.fleet import (
+    Fleet,
+    Logic,
+    add_server,
+    make_fleet,
+    routing_table,
+)
+from tools.fakes.servers import FakeServer
+from tools.fakes.traffic import (
+    FlowNumbers,
+    Traffic,
+    broken_flows,
+    is_usable,
+    send_request,
+    start_traffic,
+)
+
+BALANCERS = ('b1', 'b2', 'b3', 'b4', 'b5')
+LONG_SHARE = 0.5
+LONG_SECONDS = 86_400
+SHORT_SECONDS = 60
+FILL_SECONDS = 40
+SETTLED_AT = 100
+STEP_SECONDS = 61
+COLD_SECONDS = 3
+UPLOAD_SECONDS = 120
+WINDOW_SECONDS = 10
+BUSY_SHARE = 0.4
+SPREAD_SECONDS = 2
+
+
+class Callers(NamedTuple):
+    """Callers of one kind: those that stay all day, or come and go."""
+
+    openings_per_second: float
+    flow_seconds: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Imbalance at one moment, as maximum over mean of all open hosts."""
+
+    moment: str
+    connections: float
+    busy_slots: float
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a run showed.
+
+    Attributes
+    ----------
+    relayed
+        Share of callers' packets that were relayed.
+    """
+
+    readings: list[Reading] = field(default_factory=list)
+    refused_opens: int = 0
+    opened: int = 0
+    broken: int = 0
+    relayed: float = 0
+
+
+@dataclass(slots=True)
+class Trial:
+    """A run in progress."""
+
+    fleet: Fleet
+    service: Service
+    weighting: Weighting
+    left: set[str] = field(default_factory=set)
+    versions: int = 1
+    outcome: Outcome = field(default_factory=Outcome)
+
+
+def start_trial(
+    service: Service, logic: Logic, weighting: Weighting, seed: int
+) -> Trial:
+    """Make the balancers and servers, and let callers fill them."""
+    servers = servers_of(service)
+    fleet = make_fleet(seed, logic, BALANCERS, servers)
+    place_balancers(fleet, service)
+    trial = Trial(fleet, service, weighting)
+    edit_pool(trial, drained=())
+    steady = sum(server.connection_limit for server in servers) * service.fill
+    numbers = FlowNumbers()
+    long_lived = steady * LONG_SHARE / FILL_SECONDS
+    callers = (
+        Callers(long_lived, LONG_SECONDS, FILL_SECONDS),
+        Callers(steady * (1 - LONG_SHARE) / SHORT_SECONDS, SHORT_SECONDS, 1e6),
+    )
+    for one in callers:
+        traffic = Traffic(
+            service.name,
+            openings_per_second=one.openings_per_second,
+            flow_seconds=one.flow_seconds,
+            upload_seconds=UPLOAD_SECONDS,
+        )
+        start_traffic(fleet, traffic, one.until, numbers)
+    return trial
+
+
+def place_balancers(fleet: Fleet, service: Service) -> None:
+    """Put the balancers into the service's data centres by turns."""
+    places = service.data_centres
+    members = {
+        name: Member(name, places[number % len(places)], '127.0.0.1:1')
+        for number, name in enumerate(fleet.balancers_by_id)
+    }
+    for name, tables in fleet.balancers_by_id.items():
+        tables.data_centre = members[name].data_centre
+        tables.view = View(tables.view.epoch, members)
+
+
+def edit_pool(trial: Trial, drained: tuple[str, ...]) -> None:
+    """Let an edit reach each balancer up to two seconds apart."""
+    trial.versions += 1
+    pool = Pool(trial.service.name, drained=drained, weighting=trial.weighting)
+    table = routing_table(trial.fleet, trial.versions, pool)
+    queue = trial.fleet.queue
+    for tables in trial.fleet.balancers_by_id.values():
+        install = functools.partial(install_table, tables, table)
+        schedule(queue, queue.rng.uniform(0, SPREAD_SECONDS), install)
+
+
+def open_hosts(trial: Trial) -> list[FakeServer]:
+    """List the hosts that are to take new flows."""
+    return [
+        server
+        for server in trial.fleet.servers_by_id.values()
+        if server.backend_id not in trial.left
+    ]
+
+
+def max_over_mean(values: list[float]) -> float:
+    """Divide the largest value by the mean."""
+    mean = sum(values) / len(values)
+    return max(values) / mean if mean else 1
+
+
+def read_at(trial: Trial, moment: str, at: float) -> None:
+    """Run up to a time and read the imbalance, slots over ten seconds."""
+    fleet = trial.fleet
+    run_until(fleet.queue, at - WINDOW_SECONDS)
+    ask_on_every_flow(trial)
+    hosts = open_hosts(trial)
+    before = {host.backend_id: runs_of(host) for host in hosts}
+    run_until(fleet.queue, at)
+    reading = Reading(
+        moment,
+        max_over_mean(
+            [len(host.flows) / host.connection_limit for host in hosts]
+        ),
+        max_over_mean(
+            [runs_of(host) - before[host.backend_id] for host in hosts]
+        ),
+    )
+    trial.outcome.readings.append(reading)
+
+
+def runs_of(server: FakeServer) -> int:
+    """Count the requests that occupied a slot, each for the same time."""
+    return sum(server.runs_by_request.values())
+
+
+def ask_on_every_flow(trial: Trial) -> None:
+    """Let every open flow send requests in the window, some more than others.
+
+    How busy a flow is follows from its key, so that it stays so.
+    """
+    fleet = trial.fleet
+    traffic = Traffic(trial.service.name)
+    usable = [seen for seen in fleet.flows_by_key.values() if is_usable(seen)]
+    slots = trial.service.slots * len(open_hosts(trial))
+    seconds = BUSY_SHARE * slots * WINDOW_SECONDS / max(len(usable), 1)
+    for server in fleet.servers_by_id.values():
+        server.service_seconds = seconds
+    for seen in usable:
+        requests = round(random.Random(seen.flow).expovariate(1))
+        for _ in range(requests):
+            schedule(
+                fleet.queue,
+                fleet.queue.rng.uniform(0, WINDOW_SECONDS),
+                functools.partial(send_request, fleet, seen, traffic),
+            )
+
+
+def join_host(trial: Trial) -> None:
+    """Start one more host, which is cold at first."""
+    count = trial.service.hosts + 1
+    server = servers_of(trial.service, count)[-1]
+    server.state = BackendState.STARTING
+    add_server(trial.fleet, server)
+
+    def warm() -> None:
+        server.state = BackendState.READY
+
+    schedule(trial.fleet.queue, COLD_SECONDS, warm)
+
+
+def run_trial(
+    service: Service, logic: Logic, weighting: Weighting, seed: int
+) -> Outcome:
+    """Settle, drain a host, take it back, let one join; read after each."""
+    trial = start_trial(service, logic, weighting, seed)
+    read_at(trial, 'settled', SETTLED_AT)
+    left = f'{service.name}-1'
+    trial.left.add(left)
+    edit_pool(trial, drained=(left,))
+    read_at(trial, 'drain + 60 s', SETTLED_AT + STEP_SECONDS)
+    trial.left.clear()
+    edit_pool(trial, drained=())
+    read_at(trial, 'return + 60 s', SETTLED_AT + 2 * STEP_SECONDS)
+    join_host(trial)
+    joined = SETTLED_AT + 3 * STEP_SECONDS + COLD_SECONDS
+    read_at(trial, 'join + 60 s', joined)
+    return judge(trial)
+
+
+def judge(trial: Trial) -> Outcome:
+    """Count what the callers and the hosts saw."""
+    fleet = trial.fleet
+    outcome = trial.outcome
+    outcome.relayed = fleet.relayed / max(fleet.packets, 1)
+    outcome.refused_opens = sum(
+        server.refused_opens for server in fleet.servers_by_id.values()
+    )
+    outcome.broken = len(broken_flows(fleet))
+    outcome.opened = sum(
+        seen.opened_at is not None for seen in fleet.flows_by_key.values()
+    )
+    return outcome
