--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,6 +1,7 @@
 """The way of a packet: every packet of a flow goes through its owner."""
 
 from mustardhold.systems.answers import take_answer, take_shed
+from mustardhold.systems.health import note_backend_packet
 from mustardhold.systems.opening import open_flow
 from mustardhold.systems.ownership import is_lease_live, owners_for
 from mustardhold.systems.records import end_flow
@@ -62,11 +63,12 @@
         open_flow(tables, packet, record, owners, outbox)
         return
     known = tables.backends_by_id.get(record.backend_id) if record else None
+    if known is None:
+        tables.counters['', 'no-record'] += 1
     if isinstance(packet, Request):
         take_request(tables, now, packet, known, outbox)
         return
     if known is None:
-        tables.counters['', 'no-record'] += 1
         outbox.append(ToCaller(FlowEnded(packet.flow)))
         return
     if isinstance(packet, Cancel):
@@ -81,6 +83,7 @@
     tables: BalancerTables, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Pass a server's packet to the caller that its flow key names."""
+    note_backend_packet(tables, packet)
     if isinstance(packet, Answer):
         take_answer(tables, packet, outbox)
         return
--- a/src/mustardhold/systems/answers.py
+++ b/src/mustardhold/systems/answers.py
@@ -15,7 +15,7 @@
 from mustardhold.tables.constants import MAX_SEEN_BYTES
 from mustardhold.tables.outbox import Outbox, ToCaller, ToPeer
 from mustardhold.tables.packets import Answer, Shed
-from mustardhold.tables.peers import AnswersSeen
+from mustardhold.tables.request_messages import AnswersSeen
 from mustardhold.tables.requests import RequestRecord, RequestState
 
 # Key of the request, part, parts; no parts: the part is one of the codes.
--- a/src/mustardhold/systems/dispatch.py
+++ b/src/mustardhold/systems/dispatch.py
@@ -21,7 +21,7 @@
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox, ToBackend
 from mustardhold.tables.packets import Request
-from mustardhold.tables.peers import RequestChain
+from mustardhold.tables.request_messages import RequestChain
 from mustardhold.tables.requests import RequestRecord, RequestState
 
 
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -1,17 +1,21 @@
 """Messages from other balancers, and the work of each tick."""
 
 from mustardhold.systems.affinity import take_caller_packet
-from mustardhold.systems.announcements import (
-    expire_backends,
-    take_announcement,
-)
+from mustardhold.systems.announcements import take_announcement
 from mustardhold.systems.deadlines import run_request_timers
+from mustardhold.systems.digests import (
+    answer_asked,
+    take_digest,
+    tick_backends,
+)
 from mustardhold.systems.records import forget_flow, take_chain
 from mustardhold.systems.request_messages import take_request_message
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.packets import CallerPacket
 from mustardhold.tables.peers import (
+    BackendDigest,
+    BackendsAsked,
     BackendShared,
     FlowClosed,
     PeerMessage,
@@ -34,6 +38,10 @@
             forget_flow(tables, flow)
         case BackendShared(backend=backend):
             take_announcement(tables, now, backend)
+        case BackendDigest():
+            take_digest(tables, now, message, outbox)
+        case BackendsAsked():
+            answer_asked(tables, message, outbox)
         case _:
             take_request_message(tables, now, message, outbox)
 
@@ -41,4 +49,4 @@
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Do the work that time asks for."""
     run_request_timers(tables, now, outbox)
-    expire_backends(tables, now)
+    tick_backends(tables, now, outbox)
--- a/src/mustardhold/systems/request_chain.py
+++ b/src/mustardhold/systems/request_chain.py
@@ -22,7 +22,7 @@
 )
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
-from mustardhold.tables.peers import RequestChain
+from mustardhold.tables.request_messages import RequestChain
 from mustardhold.tables.requests import RequestRecord
 
 
--- a/src/mustardhold/systems/request_handover.py
+++ b/src/mustardhold/systems/request_handover.py
@@ -14,7 +14,7 @@
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import MAX_REQUEST_RECORDS
 from mustardhold.tables.outbox import Outbox, ToPeer
-from mustardhold.tables.peers import KnownRequests, RequestsWanted
+from mustardhold.tables.request_messages import KnownRequests, RequestsWanted
 from mustardhold.tables.requests import Due, OwnerSpan
 
 ASKED_PER_TICK = 32
--- a/src/mustardhold/systems/request_messages.py
+++ b/src/mustardhold/systems/request_messages.py
@@ -6,7 +6,7 @@
 from mustardhold.systems.request_handover import take_known, take_wanted
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox
-from mustardhold.tables.peers import (
+from mustardhold.tables.request_messages import (
     AnswersSeen,
     KnownRequests,
     RequestChain,
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -24,6 +24,12 @@
         Decisions by ``(service, outcome)``.
     reports_by_member
         Latest bucket reports; kept by the coordinator of the group.
+    digest_at
+        Reading of the local monotonic clock, in seconds, at which the next
+        digest of backend servers is due.
+    next_plan_at
+        Reading of the local monotonic clock, in seconds, from which on the
+        coordinator plans again.
     lease_until
         Reading of the local monotonic clock, in seconds, up to which this
         balancer may act as an owner.
@@ -43,5 +49,8 @@
     reports_by_member: dict[str, tuple[BucketReport, ...]] = field(
         default_factory=dict
     )
+    digest_at: float = 0
+    digests: int = 0
+    next_plan_at: float = 0
     lease_until: float = math.inf
     stopping: bool = False
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from mustardhold.tables.backends import BackendServer
-from mustardhold.tables.packets import FlowKey, Packet, Request
+from mustardhold.tables.backends import BackendRow, BackendServer
+from mustardhold.tables.packets import FlowKey, Packet
+from mustardhold.tables.request_messages import RequestMessage
 
 
 class Relay(msgspec.Struct, array_like=True, tag=30, frozen=True):
@@ -54,73 +55,33 @@
     backend: BackendServer
 
 
-class RequestChain(msgspec.Struct, array_like=True, tag=60, frozen=True):
-    """A request, passed along its owners before it takes effect.
-
-    The last owner forwards the request to the backend server, or tells the
-    caller that it was not run.
-
-    Attributes
-    ----------
-    refusal
-        Why the request is not run; empty to forward it.
-    is_vouched
-        Whether an owner so far knows every earlier request of the bucket.
-    owners
-        Owners that have not stored the request yet, in order.
-    """
-
-    epoch: int
-    packet: Request
-    service: str
-    backend_id: str
-    refusal: str
-    is_vouched: bool
-    owners: tuple[str, ...]
-
-
-class AnswersSeen(msgspec.Struct, array_like=True, tag=61, frozen=True):
-    """Tells a primary owner which answers have reached their callers.
-
-    Attributes
-    ----------
-    entries
-        Entries of a fixed size, see ``systems/answers.py``.
-    """
-
-    entries: bytes
-
-
-class RequestsWanted(msgspec.Struct, array_like=True, tag=62, frozen=True):
-    """Asks for the ids of earlier requests of buckets that are owned anew.
+class BackendDigest(msgspec.Struct, array_like=True, tag=60, frozen=True):
+    """What a balancer lately heard of backend servers, and holds on them.
 
     Attributes
     ----------
-    buckets
-        Pairs of a bucket and the epoch since which the sender owns it.
+    held_by_id
+        Flows that the sender holds as primary owner, by server.
     """
 
     sender_id: str
-    epoch: int
-    buckets: tuple[tuple[int, int], ...]
+    rows: tuple[BackendRow, ...]
+    held_by_id: dict[str, int]
 
 
-class KnownRequests(msgspec.Struct, array_like=True, tag=63, frozen=True):
-    """One page of the earlier requests of a bucket.
-
-    Attributes
-    ----------
-    entries
-        Entries of a fixed size, see ``systems/request_handover.py``.
-    """
+class BackendsAsked(msgspec.Struct, array_like=True, tag=61, frozen=True):
+    """Asks for the whole announcements of servers."""
 
     sender_id: str
-    epoch: int
-    bucket: int
-    page: int
-    pages: int
-    entries: bytes
-
-
-RequestMessage = RequestChain | AnswersSeen | RequestsWanted | KnownRequests
-PeerMessage = Relay | RecordChain | FlowClosed | BackendShared | RequestMessage
+    backend_ids: tuple[str, ...]
+
+
+PeerMessage = (
+    Relay
+    | RecordChain
+    | FlowClosed
+    | BackendShared
+    | BackendDigest
+    | BackendsAsked
+    | RequestMessage
+)
