Measure requests under overload; refuse what cannot be answered in time

Ruled out: retries (the budget held them to a few per cent).

Change: as many may wait for a server as may be in flight, and a request whose smoothed time to an answer exceeds what is left is refused, not sent.

--- a/src/mustardhold/systems/admission.py
+++ b/src/mustardhold/systems/admission.py
@@ -2,15 +2,18 @@
 
 import math
 
-from mustardhold.systems.request_records import request_key
+from mustardhold.systems.request_records import request_key, tell_at
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import (
     IN_FLIGHT_PER_SLOT,
     MAX_WAITING_REQUESTS,
     SHED_WINDOW_FACTOR,
+    WAITING_PER_PLACE,
 )
 from mustardhold.tables.requests import RequestRecord, RequestState, Window
 
+SMOOTHING = 0.1
+
 
 def largest_window(tables: BalancerTables, backend_id: str) -> int:
     """Count the requests in flight that one owner may have at a server.
@@ -50,7 +53,7 @@
 
 
 def enqueue(tables: BalancerTables, key: bytes, record: RequestRecord) -> bool:
-    """Let a request wait, unless its service's queue is full.
+    """Let a request wait, unless the queue of its service or server is full.
 
     Returns
     -------
@@ -58,17 +61,34 @@
         Whether there was room.
     """
     waiting = tables.requests.waiting_by_service
-    if waiting[record.service] >= MAX_WAITING_REQUESTS:
+    window = window_for(tables, record.backend_id)
+    is_full = waiting[record.service] >= MAX_WAITING_REQUESTS
+    if is_full or is_queue_full(window, record):
         tables.counters[record.service, 'request-queue-full'] += 1
         return False
     waiting[record.service] += 1
-    window = window_for(tables, record.backend_id)
     queue = window.reads if record.idempotent else window.bookings
     queue.append(key)
     record.state = RequestState.WAITING
     return True
 
 
+def is_queue_full(window: Window, record: RequestRecord) -> bool:
+    """Tell whether as many wait for a server as may be in flight there.
+
+    Idempotent requests take no room from the others.
+    """
+    waiting = len(window.bookings)
+    if record.idempotent:
+        waiting += len(window.reads)
+    return waiting >= max(window.limit, 1) * WAITING_PER_PLACE
+
+
+def has_time_left(window: Window, record: RequestRecord, now: float) -> bool:
+    """Tell whether an answer can be expected by the time to tell."""
+    return now + window.seconds < tell_at(record)
+
+
 def next_waiting(window: Window) -> bytes | None:
     """Find the next key that waits: non-idempotent requests first."""
     queue = window.bookings or window.reads
@@ -104,11 +124,19 @@
         tables.requests.ready.add(record.backend_id)
 
 
-def widen_window(tables: BalancerTables, backend_id: str) -> None:
-    """Allow a little more after an answer, up to the owner's share."""
-    window = window_for(tables, backend_id)
-    largest = largest_window(tables, backend_id)
+def widen_window(
+    tables: BalancerTables, record: RequestRecord, now: float | None
+) -> None:
+    """Allow a little more after an answer, up to the owner's share.
+
+    The time that the answer took is noted where it is known.
+    """
+    window = window_for(tables, record.backend_id)
+    largest = largest_window(tables, record.backend_id)
     window.limit = min(window.limit + 1 / window.limit, largest)
+    if now is not None and record.forwards == 1:
+        seconds = now - record.sent_at
+        window.seconds += (seconds - window.seconds) * SMOOTHING
 
 
 def narrow_window(tables: BalancerTables, backend_id: str) -> None:
--- a/src/mustardhold/systems/answers.py
+++ b/src/mustardhold/systems/answers.py
@@ -61,7 +61,7 @@
     key = request_key(flow, request_id)
     primary = owners_for(tables, flow)[0]
     if primary == tables.instance_id:
-        apply_entry(tables, key, entry, outbox)
+        apply_entry(tables, None, key, entry, outbox)
         return
     entries = tables.requests.seen_by_owner.setdefault(primary, bytearray())
     entries.extend(ENTRY.pack(key, *entry))
@@ -78,16 +78,20 @@
 
 
 def take_seen(
-    tables: BalancerTables, message: AnswersSeen, outbox: Outbox
+    tables: BalancerTables, now: float, message: AnswersSeen, outbox: Outbox
 ) -> None:
     """Apply what another balancer has seen."""
     whole = len(message.entries) // ENTRY.size * ENTRY.size
     for key, part, parts in ENTRY.iter_unpack(message.entries[:whole]):
-        apply_entry(tables, key, (part, parts), outbox)
+        apply_entry(tables, now, key, (part, parts), outbox)
 
 
 def apply_entry(
-    tables: BalancerTables, key: bytes, entry: tuple[int, int], outbox: Outbox
+    tables: BalancerTables,
+    now: float | None,
+    key: bytes,
+    entry: tuple[int, int],
+    outbox: Outbox,
 ) -> None:
     """Take what was seen of a request into its record."""
     record = tables.requests.records_by_key.get(key)
@@ -95,7 +99,7 @@
         return
     part, parts = entry
     if parts > CODE:
-        apply_part(tables, record, part, parts)
+        apply_part(tables, now, record, entry)
     elif part == CODE_SHED:
         apply_shed(tables, record, outbox)
     else:
@@ -104,14 +108,18 @@
 
 
 def apply_part(
-    tables: BalancerTables, record: RequestRecord, part: int, parts: int
+    tables: BalancerTables,
+    now: float | None,
+    record: RequestRecord,
+    entry: tuple[int, int],
 ) -> None:
     """Note a part of an answer; the last one ends the request."""
+    part, parts = entry
     record.parts_seen |= 1 << part
     if record.parts_seen.bit_count() < parts:
         return
     tables.counters[record.service, 'answered'] += 1
-    widen_window(tables, record.backend_id)
+    widen_window(tables, record, now)
     add_success(tables, record.service)
     end_record(tables, record)
 
--- a/src/mustardhold/systems/dispatch.py
+++ b/src/mustardhold/systems/dispatch.py
@@ -3,6 +3,7 @@
 from mustardhold.systems.admission import (
     end_record,
     has_free_place,
+    has_time_left,
     leave_queue,
     next_waiting,
     take_place,
@@ -45,6 +46,7 @@
     leave_queue(tables, record)
     record.state = RequestState.SENT
     record.epoch = tables.view.epoch
+    record.sent_at = now
     take_place(window_for(tables, record.backend_id), record)
     if record.idempotent:
         forward_idempotent(tables, now, key, record, outbox)
@@ -137,8 +139,34 @@
         if key is None:
             return
         record = tables.requests.records_by_key[key]
-        if may_decide(tables, now, record.flow):
-            dispatch(tables, now, key, record, outbox)
+        if has_time_left(window, record, now):
+            send_waiting(tables, now, key, record, outbox)
         else:
-            end_record(tables, record)
-            tell_unknown(tables, record, 'owner-changed', outbox)
+            end_overdue(tables, now, record, outbox)
+
+
+def send_waiting(
+    tables: BalancerTables,
+    now: float,
+    key: bytes,
+    record: RequestRecord,
+    outbox: Outbox,
+) -> None:
+    """Send a request that has waited, unless another owner decides now."""
+    if may_decide(tables, now, record.flow):
+        dispatch(tables, now, key, record, outbox)
+        return
+    end_record(tables, record)
+    tell_unknown(tables, record, 'owner-changed', outbox)
+
+
+def end_overdue(
+    tables: BalancerTables, now: float, record: RequestRecord, outbox: Outbox
+) -> None:
+    """End a request that would have its answer too late."""
+    if record.forwards or not may_decide(tables, now, record.flow):
+        end_record(tables, record)
+        tell_unknown(tables, record, 'deadline', outbox)
+        return
+    leave_queue(tables, record)
+    refuse_record(tables, now, record, 'deadline', outbox)
--- a/src/mustardhold/systems/request_messages.py
+++ b/src/mustardhold/systems/request_messages.py
@@ -23,7 +23,7 @@
         case RequestChain():
             take_request_chain(tables, now, message, outbox)
         case AnswersSeen():
-            take_seen(tables, message, outbox)
+            take_seen(tables, now, message, outbox)
             pump_windows(tables, now, outbox)
         case RequestsWanted():
             take_wanted(tables, now, message, outbox)
--- a/src/mustardhold/tables/requests.py
+++ b/src/mustardhold/tables/requests.py
@@ -39,7 +39,7 @@
         Epoch of the view in which this owner first saw the request.
     packet
         The request itself while it may still be sent; none afterwards.
-    received_at, deadline_at
+    received_at, deadline_at, sent_at
         Readings of the local monotonic clock, in seconds.
     is_primary
         Whether this balancer admitted the request and tells its outcome.
@@ -63,6 +63,7 @@
     epoch: int
     received_at: float
     deadline_at: float
+    sent_at: float = 0
     packet: Request | None = None
     state: RequestState = RequestState.SENT
     refusal: str = ''
@@ -83,11 +84,14 @@
     ----------
     limit
         Requests in flight at most; falls when the server sheds.
+    seconds
+        Smoothed time from sending a request to its whole answer.
     bookings, reads
         Keys of the non-idempotent and the idempotent requests that wait.
     """
 
     limit: float
+    seconds: float = 0
     in_flight: int = 0
     bookings: deque[bytes] = field(default_factory=deque)
     reads: deque[bytes] = field(default_factory=deque)
--- a/tools/fakes/naive_requests.py
+++ b/tools/fakes/naive_requests.py
@@ -3,6 +3,7 @@
 Flows are placed and relayed as by the product; requests are not.
 """
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -26,6 +27,8 @@
 RETRY_SECONDS = 0.25
 RETRIES = 3
 MS_PER_SECOND = 1000
+SHARED_QUEUE = 256
+SHARED_IN_FLIGHT = 64
 
 
 @dataclass(slots=True)
@@ -202,3 +205,43 @@
             forward(tables, packet, outbox)
 
     return make_naive(take, pass_answer, do_nothing)
+
+
+def make_shared_queue() -> Logic:
+    """Make balancers with one queue for all services, first come first."""
+    waiting: dict[str, deque[Request]] = {}
+    in_flight: dict[str, dict[bytes, float]] = {}
+
+    def take(
+        tables: BalancerTables, now: float, packet: Request, outbox: Outbox
+    ) -> None:
+        queue = waiting.setdefault(tables.instance_id, deque())
+        if len(queue) >= SHARED_QUEUE:
+            outbox.append(
+                ToCaller(NotRun(packet.flow, packet.request_id, 'overloaded'))
+            )
+            return
+        queue.append(packet)
+        pump(tables, now, outbox)
+
+    def pump(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+        name = tables.instance_id
+        queue = waiting.setdefault(name, deque())
+        sent = in_flight.setdefault(name, {})
+        expired = [key for key, due in sent.items() if due <= now]
+        for key in expired:
+            sent.pop(key)
+        while queue and len(sent) < SHARED_IN_FLIGHT:
+            packet = queue.popleft()
+            due = now + packet.deadline_ms / MS_PER_SECOND
+            sent[packet.flow + packet.request_id] = due
+            forward(tables, packet, outbox)
+
+    def take_answer(
+        tables: BalancerTables, packet: Answer | Shed, outbox: Outbox
+    ) -> None:
+        for sent in in_flight.values():
+            sent.pop(packet.flow + packet.request_id, None)
+        pass_answer(tables, packet, outbox)
+
+    return make_naive(take, take_answer, pump)
