Start the whole path from one module for the demo and proofs

The demo's way of starting processes becomes tools/running_path.py, which waits for states (ready, whole view, servers known) in place of fixed times.

--- a/src/mustardhold/adapters/http_app.py
+++ b/src/mustardhold/adapters/http_app.py
@@ -58,12 +58,16 @@
 
 
 def make_app(
-    handlers: HandlersByPath, note_fault: NoteFault = ignore_fault
+    handlers: HandlersByPath,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    note_fault: NoteFault = ignore_fault,
 ) -> Application:
     """Make the ASGI application that serves some handlers.
 
     Parameters
     ----------
+    max_body_bytes
+        Limit of a request's body.
     note_fault
         Learns of exceptions that a handler should not have raised.
     """
@@ -73,7 +77,7 @@
             await answer_lifespan(receive, send)
         elif scope['type'] == 'http':
             try:
-                reply = await answer(handlers, scope, receive)
+                reply = await answer(handlers, scope, receive, max_body_bytes)
             except Exception as error:  # one request never ends the server
                 note_fault(error)
                 reply = refuse('', 'internal fault', INTERNAL_FAULT)
@@ -91,12 +95,14 @@
             return
 
 
-async def answer(handlers: HandlersByPath, scope: Any, receive: Any) -> Reply:
+async def answer(
+    handlers: HandlersByPath, scope: Any, receive: Any, max_body_bytes: int
+) -> Reply:
     """Read a request and call its handler."""
     handler = handlers.get((scope['method'], scope['path']))
     if handler is None:
         return refuse_page(handlers, scope['path'])
-    body = await read_body(receive)
+    body = await read_body(receive, max_body_bytes)
     if body is None:
         return refuse(
             'body', 'is too large', HTTPStatus.REQUEST_ENTITY_TOO_LARGE
@@ -117,13 +123,13 @@
     return refuse('method', message, HTTPStatus.METHOD_NOT_ALLOWED)
 
 
-async def read_body(receive: Any) -> bytes | None:
+async def read_body(receive: Any, max_body_bytes: int) -> bytes | None:
     """Read a request's body, or nothing where it is too large."""
     body = bytearray()
     while True:
         event = await receive()
         body += event.get('body', b'')
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > max_body_bytes:
             return None
         if not event.get('more_body', False):
             return bytes(body)
--- a/src/mustardhold/daemons/balancer_http.py
+++ b/src/mustardhold/daemons/balancer_http.py
@@ -129,5 +129,7 @@
             page: functools.partial(handler, balancer)
             for page, handler in handlers.items()
         },
-        functools.partial(note_fault, balancer.faults, 'http-failed'),
+        note_fault=functools.partial(
+            note_fault, balancer.faults, 'http-failed'
+        ),
     )
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -261,7 +261,7 @@
         await trio.lowlevel.checkpoint()
         raise ZeroDivisionError
 
-    app = http_app.make_app({('GET', '/'): fail}, faults.append)
+    app = http_app.make_app({('GET', '/'): fail}, note_fault=faults.append)
     async with app_client(app) as client:
         reply = await client.get('/')
     assert reply.status_code == 500
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -9,45 +9,24 @@
 import msgspec
 import trio
 
-from mustardhold.daemons.operator import fetch_table, make_edit, send_edit
-from mustardhold.tables.outcomes import Ok
-from mustardhold.tables.routing import Pool, Route
+from mustardhold.tables.routing import Pool
 from standins import caller
 from tools import processes
+from tools.running_path import (
+    HA_NGOC,
+    SEEWINKEL,
+    Deployment,
+    RunningPath,
+    put_entry,
+    serve_deployment,
+    start_path,
+)
 
 FLOWS_PER_SERVICE = 20
 REQUESTS_PER_FLOW = 6
-SETTLE_SECONDS = 1.5
 PAUSE_SECONDS = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Deployment:
-    """One of the two deployments, as small as the demo needs it."""
-
-    name: str
-    data_centre: str
-    hosts_by_service: dict[str, int]
-    slots: int
-    address_by_service: dict[str, str]
-
-
-SEEWINKEL = Deployment(
-    'Seewinkel',
-    'neusiedl-1',
-    {'werkstatt': 2, 'katalog': 1},
-    2,
-    {'werkstatt': '10.20.0.1:443', 'katalog': '10.20.0.2:443'},
-)
-HA_NGOC = Deployment(
-    'Hà Ngọc',
-    'bac-bo-1',
-    {'order-desk': 2, 'catalogue': 1},
-    3,
-    {'order-desk': '10.30.0.1:443', 'catalogue': '10.30.0.2:443'},
-)
-
-
 @dataclass(slots=True)
 class Tally:
     """What the callers saw."""
@@ -65,104 +44,6 @@
     runs_by_request: dict[str, int]
 
 
-@dataclass(slots=True)
-class RunningPath:
-    """Addresses of a running path."""
-
-    fabric: str
-    control: str
-    balancers: list[str]
-
-
-def start_path(fleet: processes.Fleet, deployment: Deployment) -> RunningPath:
-    """Start one control replica, two balancers, a fabric and the servers."""
-    control = processes.free_tcp_address()
-    processes.start_program(
-        fleet,
-        'control',
-        {
-            'instance_id': 'control-1',
-            'data_centre': deployment.data_centre,
-            'http_address': control,
-            'folder': str(fleet.folder / 'control-1'),
-            'replicas': [],
-        },
-    )
-    settings = [
-        balancer_settings(f'balancer-{number}', deployment, control)
-        for number in (1, 2)
-    ]
-    group = [
-        {
-            key: one[key]
-            for key in ('instance_id', 'data_centre', 'peer_address')
-        }
-        for one in settings
-    ]
-    for one in settings:
-        processes.start_program(fleet, 'balancer', {**one, 'group': group})
-    https = [str(one['http_address']) for one in settings]
-    for address in (control, *https):
-        processes.wait_ready(address)
-    fabric = processes.free_address()
-    sprayed = [
-        f'--balancer={one["data_address"]},{one["http_address"]}'
-        for one in settings
-    ]
-    processes.start(
-        fleet, 'fabric', 'standins.fabric', f'--listen={fabric}', *sprayed
-    )
-    start_servers(fleet, deployment, fabric, https)
-    return RunningPath(fabric, control, https)
-
-
-def balancer_settings(
-    name: str, deployment: Deployment, control: str
-) -> dict[str, object]:
-    """Choose the settings of a balancer, but for its group."""
-    return {
-        'instance_id': name,
-        'data_centre': deployment.data_centre,
-        'data_address': processes.free_address(),
-        'peer_address': processes.free_address(),
-        'http_address': processes.free_tcp_address(),
-        'control_addresses': [control],
-    }
-
-
-def start_servers(
-    fleet: processes.Fleet,
-    deployment: Deployment,
-    fabric: str,
-    balancers: list[str],
-) -> None:
-    """Start the backend servers of every service."""
-    announce = [f'--announce={address}' for address in balancers]
-    for service, hosts in deployment.hosts_by_service.items():
-        for number in range(1, hosts + 1):
-            name = f'{service}-{number}'
-            processes.start(
-                fleet,
-                name,
-                'standins.backend_server',
-                f'--id={name}',
-                f'--pool={service}',
-                f'--data-centre={deployment.data_centre}',
-                f'--listen={processes.free_address()}',
-                f'--fabric={fabric}',
-                f'--slots={deployment.slots}',
-                *announce,
-            )
-
-
-def put_entry(control: str, entry: Route | Pool) -> None:
-    """Edit an entry as an operator does."""
-    table = fetch_table([control])
-    assert isinstance(table, Ok)
-    sent = send_edit([control], make_edit(table.value, entry, None))
-    print(f'edit of {type(entry).__name__.lower()} {entry.name}: {sent}')
-
-
 async def use_service(
     path: RunningPath, service: str, address: str, tally: Tally
 ) -> None:
@@ -193,17 +74,15 @@
 async def serve(path: RunningPath, deployment: Deployment) -> Tally:
     """Serve callers of every service while an operator edits a pool."""
     tally = Tally()
-    for service, address in deployment.address_by_service.items():
-        put_entry(path.control, Route(service, (address,)))
-        put_entry(path.control, Pool(service))
-    await trio.sleep(SETTLE_SECONDS)
     async with trio.open_nursery() as nursery:
         for service, address in deployment.address_by_service.items():
             for _ in range(FLOWS_PER_SERVICE):
                 nursery.start_soon(use_service, path, service, address, tally)
         await trio.sleep(PAUSE_SECONDS)
         edited = next(iter(deployment.hosts_by_service))
-        put_entry(path.control, Pool(edited, drained=(f'{edited}-1',)))
+        drained = Pool(edited, drained=(f'{edited}-1',))
+        sent = await trio.to_thread.run_sync(put_entry, path, drained)
+        print(f'  drained {edited}-1 while callers were served: {sent}')
     return tally
 
 
@@ -267,6 +146,7 @@
         fleet = processes.Fleet(Path(folder))
         try:
             path = start_path(fleet, deployment)
+            serve_deployment(path, deployment)
             tally = trio.run(serve, path, deployment)
         finally:
             endings = processes.stop_all(fleet)
