--- /dev/null
+++ b/tools/fakes/policies.py
@@ -0,0 +1,90 @@
+"""Other ways to choose a server for a new flow, for comparison."""
+
+import itertools
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from mustardhold.systems import choice, opening
+from mustardhold.systems.routing import open_servers
+from mustardhold.tables.backends import KnownBackend
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.routing import Pool
+
+BOUND = 1.08
+GOLDEN_RATIO = 0.618034
+
+Choose = Callable[[BalancerTables, Pool, bytes], KnownBackend | None]
+
+
+@contextmanager
+def chosen_by(choose: Choose) -> Iterator[None]:
+    """Let the owners of flows choose by another policy."""
+    product = choice.choose_server
+    vars(opening)['choose_server'] = choose
+    try:
+        yield
+    finally:
+        vars(opening)['choose_server'] = product
+
+
+def able_servers(
+    tables: BalancerTables, pool: Pool, flow: bytes
+) -> list[KnownBackend]:
+    """List the servers that may take a flow, by the hash of both."""
+    able = [
+        known
+        for known in open_servers(tables, pool)
+        if choice.may_take(known) and choice.has_room(known, flow)
+    ]
+    return sorted(able, key=lambda known: choice.flow_hash(flow, known))
+
+
+def two_choices(
+    tables: BalancerTables, pool: Pool, flow: bytes
+) -> KnownBackend | None:
+    """Take the less used of two servers that the flow's hash names."""
+    two = able_servers(tables, pool, flow)[:2]
+    return min(
+        two, key=lambda known: choice.utilisation(tables, known), default=None
+    )
+
+
+def bounded_hash(
+    tables: BalancerTables, pool: Pool, flow: bytes
+) -> KnownBackend | None:
+    """Take the first by hash whose use is within a bound above the mean."""
+    able = able_servers(tables, pool, flow)
+    if not able:
+        return None
+    used = [choice.utilisation(tables, known) for known in able]
+    limit = BOUND * sum(used) / len(used)
+    within = (
+        known for known, share in zip(able, used, strict=True) if share <= limit
+    )
+    return next(within, able[0])
+
+
+def make_weighted_turns() -> Choose:
+    """Make a choice by turns, in proportion to what each server has free."""
+    turns = itertools.count()
+
+    def choose(
+        tables: BalancerTables, pool: Pool, flow: bytes
+    ) -> KnownBackend | None:
+        able = sorted(
+            able_servers(tables, pool, flow),
+            key=lambda known: known.announced.backend_id,
+        )
+        free = [max(1 - choice.utilisation(tables, known), 0) for known in able]
+        if not able:
+            return None
+        # Multiples of the golden ratio spread evenly over a circle.
+        turn = next(turns) * GOLDEN_RATIO
+        point = (turn - int(turn)) * sum(free)
+        for known, share in zip(able, free, strict=True):
+            point -= share
+            if point <= 0:
+                return known
+        return able[-1]
+
+    return choose
--- /dev/null
+++ b/tools/measurements/imbalance.py
@@ -0,0 +1,84 @@
+"""Imbalance, openings sent to full hosts, and broken flows, at real sizes."""
+
+from collections.abc import Iterator
+
+from mustardhold.tables.routing import Weighting
+from tools.fakes.deployments import SERVICES, Service
+from tools.fakes.fleet import PRODUCT, Logic
+from tools.fakes.naive import HASH_ALONE, TABLE_EACH, make_round_robin
+from tools.fakes.trial import Outcome, run_trial
+from tools.registry import Cell, Measurement, Table
+
+SEED = 1
+MILLION = 1_000_000
+
+
+def contenders() -> Iterator[tuple[str, Logic, Weighting]]:
+    """Yield ours, with both weightings, and the naive versions."""
+    yield 'ours, affinity', PRODUCT, Weighting.AFFINITY
+    yield 'ours, balance', PRODUCT, Weighting.BALANCE
+    yield 'modulo hash', HASH_ALONE, Weighting.AFFINITY
+    yield 'round robin', make_round_robin(), Weighting.AFFINITY
+    yield 'flow table each', TABLE_EACH, Weighting.AFFINITY
+
+
+def rows_of(
+    service: Service, name: str, outcome: Outcome
+) -> list[tuple[Cell, ...]]:
+    """Make a row for each moment of a run."""
+    hosts = f'{service.name} ({service.hosts} x {service.slots} slots)'
+    broken = round(outcome.broken * MILLION / max(outcome.opened, 1))
+    relayed = round(outcome.relayed, 3)
+    whole_run = (outcome.refused_opens, broken, relayed)
+    return [
+        (
+            hosts,
+            name,
+            reading.moment,
+            round(reading.connections, 3),
+            round(reading.busy_slots, 3),
+            *whole_run,
+        )
+        for reading in outcome.readings
+    ]
+
+
+def measure_imbalance() -> Table:
+    """Run every service with ours and the naive versions."""
+    rows = [
+        row
+        for service in SERVICES
+        for name, logic, weighting in contenders()
+        for row in rows_of(
+            service, name, run_trial(service, logic, weighting, SEED)
+        )
+    ]
+    return Table(
+        (
+            'service',
+            'balancers',
+            'moment',
+            'connections max/mean',
+            'slots max/mean',
+            'openings to full hosts',
+            'broken per million',
+            'relayed share',
+        ),
+        rows,
+        (
+            f'seed {SEED}; 5 balancers; hosts of 2,000 connections each',
+            'balancers and hosts are spread over the data centres',
+            'half of the connections last all day, the others 60 s on average',
+            'slots: requests run in 10 s; how busy a flow is varies by flow',
+            'the last three columns are of the whole run',
+        ),
+    )
+
+
+MEASUREMENTS = (
+    Measurement(
+        'imbalance',
+        'imbalance, full hosts and broken flows at both deployments',
+        measure_imbalance,
+    ),
+)
