--- /dev/null
+++ b/tools/measurements/policies.py
@@ -0,0 +1,144 @@
+"""Broken flows against imbalance, for every policy."""
+
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, nullcontext
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from matplotlib import rc_context
+from matplotlib.figure import Figure
+
+from mustardhold.tables.routing import Weighting
+from tools.fakes import policies
+from tools.fakes.deployments import ORDER_DESK
+from tools.fakes.fleet import PRODUCT, Logic
+from tools.fakes.naive import (
+    HASH_ALONE,
+    REPORTS_BELIEVED,
+    TABLE_EACH,
+    make_round_robin,
+)
+from tools.fakes.trial import Outcome, run_trial
+from tools.registry import Cell, Measurement, Table
+
+SEED = 2
+MILLION = 1_000_000
+PICTURE = Path(__file__).parents[2] / 'docs' / 'design' / 'policies.svg'
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """A way to place flows.
+
+    Attributes
+    ----------
+    scope
+        Puts its choice of servers in place of the product's.
+    """
+
+    name: str
+    logic: Logic = PRODUCT
+    weighting: Weighting = Weighting.BALANCE
+    scope: AbstractContextManager[None] = field(default_factory=nullcontext)
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """A policy's place in the picture."""
+
+    name: str
+    imbalance: float
+    broken: int
+    relayed: float
+
+
+def all_policies() -> Iterator[Policy]:
+    """Yield ours, other choices at the owners, and the naive versions."""
+    yield Policy('ours, balance')
+    yield Policy('ours, affinity', weighting=Weighting.AFFINITY)
+    yield Policy(
+        'owners, two choices', scope=policies.chosen_by(policies.two_choices)
+    )
+    yield Policy(
+        'owners, bounded hash',
+        scope=policies.chosen_by(policies.bounded_hash),
+    )
+    yield Policy(
+        'owners, weighted turns',
+        scope=policies.chosen_by(policies.make_weighted_turns()),
+    )
+    yield Policy('modulo hash', HASH_ALONE)
+    yield Policy('flow table each', TABLE_EACH)
+    yield Policy('round robin', make_round_robin())
+    yield Policy('reports believed', REPORTS_BELIEVED)
+
+
+def run_policy(policy: Policy) -> Outcome:
+    """Run the service under a policy."""
+    with policy.scope:
+        return run_trial(ORDER_DESK, policy.logic, policy.weighting, SEED)
+
+
+def point_of(name: str, outcome: Outcome) -> Point:
+    """Sum a run up."""
+    return Point(
+        name,
+        round(max(one.connections for one in outcome.readings), 3),
+        round(outcome.broken * MILLION / max(outcome.opened, 1)),
+        round(outcome.relayed, 3),
+    )
+
+
+def draw(points: list[Point]) -> None:
+    """Draw the picture for the design notes."""
+    figure = Figure(figsize=(7, 4.5))
+    axes = figure.subplots()
+    for point in points:
+        axes.scatter(point.imbalance, point.broken)
+        axes.annotate(
+            point.name,
+            (point.imbalance, point.broken),
+            textcoords='offset points',
+            xytext=(5, 4),
+            fontsize=8,
+        )
+    axes.set_yscale('symlog', linthresh=10)
+    axes.set_xlabel('connections, maximum over mean (worst of four moments)')
+    axes.set_ylabel('broken flows per million')
+    # The picture has to be the same for the same figures.
+    with rc_context({'svg.hashsalt': 'policies'}):
+        figure.savefig(PICTURE, metadata={'Date': None})
+
+
+def measure_policies() -> Table:
+    """Run every policy and draw the picture."""
+    points = [
+        point_of(policy.name, run_policy(policy)) for policy in all_policies()
+    ]
+    draw(points)
+    rows: list[tuple[Cell, ...]] = [
+        (point.name, point.imbalance, point.broken, point.relayed)
+        for point in points
+    ]
+    return Table(
+        (
+            'policy',
+            'connections max/mean',
+            'broken per million',
+            'relayed share',
+        ),
+        rows,
+        (
+            f'seed {SEED}; order-desk, 7 hosts',
+            'the worst of: settled, drain, return and join + 60 s',
+        ),
+    )
+
+
+MEASUREMENTS = (
+    Measurement(
+        'policies',
+        'broken flows against imbalance for every policy, as a picture',
+        measure_policies,
+    ),
+)
