--- a/src/mustardhold/systems/requests.py
+++ b/src/mustardhold/systems/requests.py
@@ -79,6 +79,20 @@
     if has_free_place(window) and not has_waiting(window):
         dispatch(tables, now, key, record, outbox)
     elif not enqueue(tables, key, record):
+        refuse_overload(tables, now, record, outbox)
+
+
+def refuse_overload(
+    tables: BalancerTables, now: float, record: RequestRecord, outbox: Outbox
+) -> None:
+    """Refuse a request that found the queue full.
+
+    An idempotent one that was sent before may have run then.
+    """
+    if record.forwards:
+        end_record(tables, record)
+        tell_unknown(tables, record, 'overloaded', outbox)
+    else:
         refuse_record(tables, now, record, 'overloaded', outbox)
 
 
