--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,324 @@
+"""Requests pass their owners, wait, are retried, and end in one outcome."""
+
+import msgspec
+import pytest
+
+from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.answers import take_answer, take_shed
+from mustardhold.systems.completeness import is_complete, note_view
+from mustardhold.systems.deadlines import run_request_timers
+from mustardhold.systems.hashing import bucket_of, owners_of
+from mustardhold.systems.request_handover import (
+    ask_for_requests,
+)
+from mustardhold.systems.request_messages import take_request_message
+from mustardhold.systems.request_records import request_key
+from mustardhold.systems.requests import (
+    answer_without_lease,
+    take_cancel,
+    take_request,
+)
+from mustardhold.systems.retries import backoff_seconds, take_retry
+from mustardhold.tables.backends import BackendServer, BackendState
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.outbox import ToBackend, ToCaller, ToPeer
+from mustardhold.tables.packets import (
+    Answer,
+    Cancel,
+    Request,
+    Shed,
+)
+from mustardhold.tables.requests import RequestState
+from mustardhold.tables.views import Member, View
+
+NAMES = ('b1', 'b2', 'b3', 'b4', 'b5')
+FLOW = b'caller' + b'server'
+OWNERS = owners_of(bucket_of(FLOW), NAMES)
+SERVER = BackendServer(
+    's1',
+    'werkstatt',
+    'dc',
+    '127.0.0.1:9',
+    2,
+    2000,
+    0,
+    0,
+    BackendState.READY,
+    1,
+    1,
+)
+
+
+def members(names):
+    return {name: Member(name, 'dc', '127.0.0.1:1') for name in names}
+
+
+def make_tables(name, epoch=1, names=NAMES):
+    tables = BalancerTables(name, 'dc', View(epoch, members(names)))
+    take_announcement(tables, 0, SERVER)
+    note_view(tables, 0)
+    return tables
+
+
+def make_group():
+    return {name: make_tables(name) for name in NAMES}
+
+
+def make_request(number=1, *, idempotent=False, deadline_ms=2000):
+    return Request(
+        FLOW, number.to_bytes(16, 'big'), idempotent, deadline_ms, b'book'
+    )
+
+
+def run_through(group, outbox, now=0.0):
+    """Deliver messages between balancers; return what leaves the group."""
+    left = []
+    while outbox:
+        send = outbox.pop(0)
+        if isinstance(send, ToPeer):
+            receiver = group[send.instance_id]
+            take_request_message(receiver, now, send.message, outbox)
+        else:
+            left.append(send)
+    return left
+
+
+def ask(group, packet, now=0.0):
+    """Hand a request to its primary owner."""
+    outbox = []
+    primary = group[OWNERS[0]]
+    known = primary.backends_by_id['s1']
+    take_request(primary, now, packet, known, outbox)
+    return run_through(group, outbox, now)
+
+
+def outcomes(sends):
+    return [
+        (type(send.packet).__name__, getattr(send.packet, 'reason', ''))
+        for send in sends
+    ]
+
+
+def test_every_owner_knows_a_booking_before_its_server_does():
+    group = make_group()
+    packet = make_request()
+    [send] = ask(group, packet)
+    assert isinstance(send, ToBackend)
+    key = request_key(packet.flow, packet.request_id)
+    holders = {
+        name for name in NAMES if key in group[name].requests.records_by_key
+    }
+    assert holders == set(OWNERS)
+
+
+def test_a_repeated_booking_is_forwarded_once():
+    group = make_group()
+    assert len(ask(group, make_request())) == 1
+    assert ask(group, make_request(), 0.5) == []
+
+
+def test_a_repeated_chain_message_is_acted_on_once():
+    group = make_group()
+    outbox = []
+    primary = group[OWNERS[0]]
+    known = primary.backends_by_id['s1']
+    take_request(primary, 0, make_request(), known, outbox)
+    assert len(run_through(group, [*outbox, *outbox])) == 1
+
+
+def test_the_time_that_is_left_is_passed_on():
+    group = make_group()
+    primary = group[OWNERS[0]]
+    outbox = []
+    known = primary.backends_by_id['s1']
+    window_limit = 7
+    for number in range(window_limit + 1):
+        packet = make_request(number, idempotent=True)
+        take_request(primary, 0, packet, known, outbox)
+    assert len(outbox) == window_limit
+    outbox.clear()
+    answer = Answer(FLOW, make_request(0).request_id, 0, 1, b'')
+    take_answer(primary, answer, outbox)
+    run_request_timers(primary, 0.1, outbox)
+    [sent] = [send for send in outbox if isinstance(send, ToBackend)]
+    assert sent.packet.deadline_ms == 1900
+
+
+def test_another_view_stops_a_chain_of_an_earlier_one():
+    last = make_tables(OWNERS[-1], epoch=2)
+    group = make_group()
+    outbox = []
+    primary = group[OWNERS[0]]
+    known = primary.backends_by_id['s1']
+    take_request(primary, 0, make_request(), known, outbox)
+    group[OWNERS[-1]] = last
+    assert run_through(group, outbox) == []
+    assert (
+        last.counters['werkstatt', 'request-chain-stale']
+        + (last.counters['', 'request-chain-stale'])
+    )
+
+
+def test_an_id_of_the_view_before_is_not_forwarded_again():
+    group = make_group()
+    ask(group, make_request())
+    rest = [name for name in NAMES if name != OWNERS[0]]
+    for name in rest:
+        group[name].view = View(2, members(rest))
+        group[name].owners_by_bucket.clear()
+    new_primary = owners_of(bucket_of(FLOW), rest)[0]
+    outbox = []
+    tables = group[new_primary]
+    known = tables.backends_by_id['s1']
+    take_request(tables, 1, make_request(), known, outbox)
+    assert run_through(group, outbox, 1) == []
+    take_request(tables, 3, make_request(), known, outbox)
+    assert outcomes(run_through(group, outbox, 3)) == [
+        ('Unknown', 'already-forwarded')
+    ]
+
+
+def restarted_group():
+    """Make a group in which no owner knows what was forwarded before."""
+    group = {name: make_tables(name, epoch=7) for name in NAMES}
+    assert not any(is_complete(group[name], 0, FLOW) for name in OWNERS)
+    return group
+
+
+def test_owners_that_cannot_rule_out_an_id_say_so():
+    group = restarted_group()
+    assert outcomes(ask(group, make_request())) == [
+        ('Unknown', 'cannot-rule-out')
+    ]
+
+
+def test_new_owners_decide_once_the_lifetime_has_passed():
+    group = restarted_group()
+    [send] = ask(group, make_request(), 121.0)
+    assert isinstance(send, ToBackend)
+
+
+def test_a_new_owner_learns_the_earlier_ids():
+    group = make_group()
+    ask(group, make_request())
+    joined = make_tables(OWNERS[0], epoch=2)
+    for name in NAMES:
+        if name != OWNERS[0]:
+            group[name].view = View(2, members(NAMES))
+            note_view(group[name], 1)
+    group[OWNERS[0]] = joined
+    for _ in range(40):
+        outbox = []
+        ask_for_requests(joined, 1, outbox)
+        run_through(group, outbox, 1)
+    assert is_complete(joined, 1, FLOW)
+    assert outcomes(ask(group, make_request(), 1)) == [
+        ('Unknown', 'already-forwarded')
+    ]
+
+
+def test_without_a_lease_nothing_is_said_to_be_not_run():
+    tables = make_tables(OWNERS[0])
+    outbox = []
+    answer_without_lease(tables, make_request(), outbox)
+    assert outcomes(outbox) == [('Unknown', 'no-lease')]
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'expected'),
+    [(False, [('NotRun', 'shed')]), (True, [])],
+)
+def test_a_shed_booking_was_not_run_and_a_shed_read_waits(idempotent, expected):
+    group = make_group()
+    packet = make_request(idempotent=idempotent)
+    ask(group, packet)
+    outbox = []
+    shed = Shed(packet.flow, packet.request_id)
+    take_shed(group[OWNERS[1]], shed, outbox)
+    assert outcomes(run_through(group, outbox)) == expected
+
+
+def test_a_request_without_an_answer_is_unknown_by_its_deadline():
+    group = make_group()
+    ask(group, make_request())
+    outbox = []
+    run_request_timers(group[OWNERS[0]], 1.9, outbox)
+    told = [send for send in outbox if isinstance(send, ToCaller)]
+    assert outcomes(told) == [('Unknown', 'deadline')]
+
+
+def fill_window(group):
+    """Take every place at the server, and one place in the queue."""
+    sent = []
+    for number in range(100):
+        sent += ask(group, make_request(number))
+        records = group[OWNERS[0]].requests.records_by_key.values()
+        if any(one.state is RequestState.WAITING for one in records):
+            return number
+    raise AssertionError('nothing waits')
+
+
+def test_a_waiting_request_can_be_withdrawn():
+    group = make_group()
+    number = fill_window(group)
+    primary = group[OWNERS[0]]
+    outbox = []
+    cancel = Cancel(FLOW, make_request(number).request_id)
+    known = primary.backends_by_id['s1']
+    take_cancel(primary, 0, cancel, known, outbox)
+    assert outcomes(run_through(group, outbox)) == [('NotRun', 'cancelled')]
+
+
+def test_a_withdrawal_reaches_the_server():
+    group = make_group()
+    packet = make_request()
+    ask(group, packet)
+    primary = group[OWNERS[0]]
+    outbox = []
+    cancel = Cancel(FLOW, packet.request_id)
+    take_cancel(primary, 0, cancel, primary.backends_by_id['s1'], outbox)
+    assert outcomes(outbox) == [('Cancel', ''), ('Unknown', 'cancelled')]
+
+
+def test_bookings_leave_the_queue_before_reads():
+    group = make_group()
+    fill_window(group)
+    primary = group[OWNERS[0]]
+    window = primary.requests.windows_by_backend['s1']
+    outbox = []
+    known = primary.backends_by_id['s1']
+    read = make_request(200, idempotent=True)
+    take_request(primary, 0, read, known, outbox)
+    ask(group, make_request(201))
+    waiting = len(window.bookings), len(window.reads)
+    answer = Answer(FLOW, make_request(0).request_id, 0, 1, b'')
+    take_answer(primary, answer, outbox)
+    run_request_timers(primary, 0.1, outbox)
+    assert (len(window.bookings), len(window.reads)) == (
+        waiting[0] - 1,
+        waiting[1],
+    )
+
+
+def test_retries_are_bounded_by_the_budget():
+    tables = make_tables('b1')
+    taken = [take_retry(tables, 'katalog') for _ in range(20)]
+    assert taken == [True] * 10 + [False] * 10
+    assert take_retry(tables, 'werkstatt')
+
+
+@pytest.mark.parametrize('forwards', range(1, 6))
+def test_backoff_doubles_within_its_jitter(forwards):
+    longest = 0.25 * 2 ** (forwards - 1)
+    waits = {backoff_seconds(bytes((n,)), forwards) for n in range(100)}
+    assert len(waits) > 50
+    assert all(longest / 2 <= wait <= longest for wait in waits)
+
+
+def test_two_callers_may_choose_the_same_id():
+    group = make_group()
+    packet = make_request()
+    other = msgspec.structs.replace(packet, flow=b'CALLER' + b'server')
+    keys = {request_key(one.flow, one.request_id) for one in (packet, other)}
+    assert len(keys) == 2
+    assert len(ask(group, packet)) == 1
