Agree on views under leases and hand records over

Cause: the view was fixed, so the buckets of a lost, restarted or leaving balancer had no owner, and records had no way to a new one.

Change: a coordinator under a lease from a majority of the group, member leases that run from the member's own request, views with epochs that a majority knows before they are in force, a fence on older views, questions to the other members on a miss, and paced pages of records for new owners. Placements ride on leases; packets of settled buckets need no owner.

--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import httpx
 import msgspec
@@ -29,6 +30,8 @@
     take_caller_packet,
 )
 from mustardhold.systems.announcements import take_announced
+from mustardhold.systems.coordination import join_group
+from mustardhold.systems.ownership import is_ready
 from mustardhold.systems.peers import take_peer_message, tick
 from mustardhold.tables.backends import BackendServer
 from mustardhold.tables.balancer import BalancerTables
@@ -37,8 +40,8 @@
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
 from mustardhold.tables.packets import BackendPacket, CallerPacket
 from mustardhold.tables.status import BalancerStatus
-from mustardhold.tables.views import View
 
+MICROSECONDS = 1_000_000
 CALLER_BYTES = FLOW_KEY_BYTES // 2
 
 
@@ -58,10 +61,13 @@
     options: BalancerOptions, clock: Clock, log: logging.Logger
 ) -> Balancer:
     """Open a balancer's sockets and make its tables."""
-    view = View(1, {member.instance_id: member for member in options.group})
+    incarnation = int(clock.now().timestamp() * MICROSECONDS)
+    tables = join_group(
+        options.instance_id, clock.monotonic(), incarnation, options.group
+    )
     return Balancer(
         options,
-        BalancerTables(options.instance_id, options.data_centre, view),
+        tables,
         clock,
         bind_socket(options.data_address),
         bind_socket(options.peer_address),
@@ -119,8 +125,9 @@
                 caller_address(packet.flow[:CALLER_BYTES]),
             )
         case ToPeer(instance_id=instance_id, message=message):
-            member = balancer.tables.view.members_by_id.get(instance_id)
-            if member is not None:
+            membership = balancer.tables.membership
+            member = membership and membership.group_by_id.get(instance_id)
+            if member:
                 balancer.peer_socket.sendto(
                     encode_message(message), split_address(member.peer_address)
                 )
@@ -156,6 +163,13 @@
     return json_reply(status_of(balancer))
 
 
+async def show_readiness(balancer: Balancer, _: Ask) -> Reply:
+    """Answer whether the fabric may hand packets to this balancer."""
+    if is_ready(balancer.tables, balancer.clock.monotonic()):
+        return json_reply({'status': 'ready'})
+    return json_reply({'status': 'not ready'}, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
 async def show_metrics(balancer: Balancer, _: Ask) -> Reply:
     """Handle a scrape of the metrics."""
     return render_counters(balancer.tables.counters)
@@ -179,6 +193,7 @@
     app = make_app(
         {
             ('POST', '/announce'): functools.partial(take_announce, balancer),
+            ('GET', '/ready'): functools.partial(show_readiness, balancer),
             ('GET', '/status'): functools.partial(show_status, balancer),
             ('GET', '/metrics'): functools.partial(show_metrics, balancer),
         }
--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,11 +1,27 @@
-"""The way of a packet: every packet of a flow goes through its owner."""
+"""The way of a packet: to its bucket's base, or through its flow's owner."""
 
+from mustardhold.systems.handover import missing_members
+from mustardhold.systems.hashing import bucket_of
+from mustardhold.systems.holding import (
+    hold_early,
+    hold_packet,
+    overdue_flows,
+    release_early,
+    release_held,
+    take_told,
+)
 from mustardhold.systems.opening import open_flow
-from mustardhold.systems.ownership import is_lease_live, owners_for
+from mustardhold.systems.ownership import (
+    is_lease_live,
+    owners_for,
+    raise_fence,
+)
 from mustardhold.systems.records import end_flow
 from mustardhold.systems.requests import forward_request, note_answer
+from mustardhold.systems.routing import service_of
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.constants import RELAY_HOPS
+from mustardhold.tables.constants import ANNOUNCE_LIFETIME, RELAY_HOPS
+from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
 from mustardhold.tables.packets import (
     Answer,
@@ -18,7 +34,7 @@
     Request,
     Shed,
 )
-from mustardhold.tables.peers import Relay
+from mustardhold.tables.peers import Relay, TellRecord
 
 
 def take_caller_packet(
@@ -29,12 +45,19 @@
     hops: int = 0,
 ) -> None:
     """Decide on a packet from a caller, or relay it to its flow's owner."""
+    if forward_settled(tables, now, packet, outbox):
+        return
     owners = owners_for(tables, packet.flow)
+    if not owners:
+        tables.counters['', 'no-owner'] += 1
+        return
     if owners[0] == tables.instance_id:
-        if not is_lease_live(tables, now):
+        if is_lease_live(tables, now):
+            decide_as_owner(tables, now, packet, owners, outbox)
+        elif awaits_view(tables, now):
+            hold_early(tables, now, packet, hops)
+        else:
             tables.counters['', 'lease-expired'] += 1
-            return
-        decide_as_owner(tables, now, packet, owners, outbox)
     elif hops < RELAY_HOPS:
         relay = Relay(tables.instance_id, tables.view.epoch, hops + 1, packet)
         outbox.append(ToPeer(owners[0], relay))
@@ -42,6 +65,52 @@
         tables.counters['', 'relay-hops-exceeded'] += 1
 
 
+def awaits_view(tables: BalancerTables, now: float) -> bool:
+    """Tell whether a newer view is about to say who decides."""
+    return tables.stopping or now < tables.lease_until
+
+
+def take_relay(
+    tables: BalancerTables, now: float, relay: Relay, outbox: Outbox
+) -> None:
+    """Act on a relayed packet, once our view is as new as the sender's."""
+    packet = relay.packet
+    if not isinstance(packet, CallerPacket):
+        return
+    if raise_fence(tables, relay.epoch):
+        hold_early(tables, now, packet, relay.hops)
+        return
+    take_caller_packet(tables, now, packet, outbox, relay.hops)
+
+
+def settled_base(tables: BalancerTables, flow: bytes) -> str | None:
+    """Find the server of a flow whose bucket is settled."""
+    service = service_of(tables, flow)
+    placement = tables.placements.placements_by_pool.get(service or '')
+    if placement is None:
+        return None
+    bucket = bucket_of(flow)
+    if bucket in placement.moving:
+        return None
+    return placement.bases[bucket]
+
+
+def forward_settled(
+    tables: BalancerTables, now: float, packet: CallerPacket, outbox: Outbox
+) -> bool:
+    """Forward a packet of a settled bucket; requests go by their owner."""
+    if not tables.placements.placements_by_pool:
+        return False
+    if isinstance(packet, Request) or not is_lease_live(tables, now):
+        return False
+    base = settled_base(tables, packet.flow)
+    known = tables.backends_by_id.get(base or '')
+    if known is None:
+        return False
+    outbox.append(ToBackend(known.announced.address, packet))
+    return True
+
+
 def decide_as_owner(
     tables: BalancerTables,
     now: float,
@@ -51,15 +120,63 @@
 ) -> None:
     """Decide on a caller's packet as primary owner of its bucket."""
     record = tables.flows_by_key.get(packet.flow)
+    if record:
+        forward_recorded(tables, now, packet, record, outbox)
+        return
+    missing = missing_members(tables, bucket_of(packet.flow))
+    if settled_base(tables, packet.flow):
+        use_base(tables, now, packet, outbox)
+    elif missing:
+        hold_packet(tables, now, packet, missing, outbox)
+    elif isinstance(packet, Open):
+        open_flow(tables, packet, None, owners, outbox)
+        forward_held(tables, now, packet.flow, outbox)
+    else:
+        use_base(tables, now, packet, outbox)
+
+
+def use_base(
+    tables: BalancerTables,
+    now: float,
+    packet: CallerPacket,
+    outbox: Outbox,
+) -> None:
+    """Forward a packet of a flow that no member has a record of.
+
+    Such a flow is at its bucket's base; without one, the packet may have
+    overtaken its flow's opening.
+    """
+    service = service_of(tables, packet.flow)
+    placement = tables.placements.placements_by_pool.get(service or '')
+    if service is None or placement is None:
+        hold_packet(tables, now, packet, set(), outbox)
+        return
+    bucket = bucket_of(packet.flow)
+    base = placement.bases[bucket]
+    record = FlowRecord(service, base, is_primary=True)
+    if bucket in placement.moving:
+        tables.flows_by_key[packet.flow] = record
+        known = tables.backends_by_id.get(base)
+        if known is not None:
+            known.held_flows += 1
+    forward_recorded(tables, now, packet, record, outbox)
+
+
+def forward_recorded(
+    tables: BalancerTables,
+    now: float,
+    packet: CallerPacket,
+    record: FlowRecord,
+    outbox: Outbox,
+) -> None:
+    """Forward a packet to the server that holds its flow."""
     if isinstance(packet, Open):
+        owners = owners_for(tables, packet.flow)
         open_flow(tables, packet, record, owners, outbox)
         return
-    if record is None:
-        refuse_unowned(tables, packet, outbox)
-        return
     known = tables.backends_by_id.get(record.backend_id)
     if known is None:
-        refuse_unowned(tables, packet, outbox)
+        refuse_unreachable(tables, now, packet, outbox)
         return
     if isinstance(packet, Request):
         forward_request(tables, now, packet, known, outbox)
@@ -69,6 +186,86 @@
         end_flow(tables, packet.flow, outbox)
 
 
+def forward_held(
+    tables: BalancerTables, now: float, flow: bytes, outbox: Outbox
+) -> None:
+    """Forward what waited for a flow, its opening first."""
+    packets = release_held(tables, flow)
+    packets.sort(key=lambda packet: not isinstance(packet, Open))
+    owners = owners_for(tables, flow)
+    for packet in packets:
+        record = tables.flows_by_key.get(flow)
+        if record:
+            forward_recorded(tables, now, packet, record, outbox)
+        elif isinstance(packet, Open):
+            open_flow(tables, packet, None, owners, outbox)
+        else:
+            refuse_unowned(tables, packet, outbox)
+
+
+def take_answer(
+    tables: BalancerTables, now: float, told: TellRecord, outbox: Outbox
+) -> None:
+    """Decide on held packets once it is settled where their flow is."""
+    if not is_lease_live(tables, now) or not take_told(tables, told):
+        return
+    if told.flow in tables.flows_by_key:
+        forward_held(tables, now, told.flow, outbox)
+        return
+    packets = release_held(tables, told.flow)
+    packets.sort(key=lambda packet: not isinstance(packet, Open))
+    for packet in packets:
+        decide_unknown(tables, now, packet, outbox)
+
+
+def decide_unknown(
+    tables: BalancerTables,
+    now: float,
+    packet: CallerPacket,
+    outbox: Outbox,
+) -> None:
+    """Decide on a packet after every member has said what it knows."""
+    record = tables.flows_by_key.get(packet.flow)
+    if record:
+        forward_recorded(tables, now, packet, record, outbox)
+    elif isinstance(packet, Open):
+        owners = owners_for(tables, packet.flow)
+        open_flow(tables, packet, None, owners, outbox)
+    else:
+        use_base(tables, now, packet, outbox)
+
+
+def retake_packets(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Decide again on held packets, after a change of the view."""
+    for one in release_early(tables, now):
+        take_caller_packet(tables, now, one.packet, outbox, one.hops)
+
+
+def refuse_overdue(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Refuse packets whose opening has not come."""
+    for flow in overdue_flows(tables, now):
+        packets = release_held(tables, flow)
+        if is_lease_live(tables, now):
+            for packet in packets:
+                refuse_unowned(tables, packet, outbox)
+
+
+def refuse_unreachable(
+    tables: BalancerTables, now: float, packet: CallerPacket, outbox: Outbox
+) -> None:
+    """Answer a packet whose server is not known here.
+
+    A balancer that has just started waits for the announcement.
+    """
+    membership = tables.membership
+    lifetime = ANNOUNCE_LIFETIME.total_seconds()
+    is_young = membership and now < membership.started_at + lifetime
+    if is_young and not isinstance(packet, Request):
+        tables.counters['', 'server-not-heard-yet'] += 1
+        return
+    refuse_unowned(tables, packet, outbox)
+
+
 def refuse_unowned(
     tables: BalancerTables, packet: CallerPacket, outbox: Outbox
 ) -> None:
--- /dev/null
+++ b/src/mustardhold/systems/leases.py
@@ -0,0 +1,279 @@
+"""Leases of members: asked for by each, given by the coordinator."""
+
+import math
+
+from mustardhold.systems.coordination import (
+    GRANT_SECONDS,
+    LEASE_SECONDS,
+    MARGIN_SECONDS,
+    RENEWAL_SECONDS,
+    coordinator_until,
+    council_of,
+    granted_since,
+    is_coordinating,
+    make_view,
+    members_of,
+    resign,
+)
+from mustardhold.systems.placement import plan_placements, report_buckets
+from mustardhold.systems.views import install_view
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.coordination import Council, MemberLease, Membership
+from mustardhold.tables.outbox import Outbox, ToPeer
+from mustardhold.tables.peers import Lease, Leave, NewView, Renewal
+from mustardhold.tables.views import ViewMember
+
+
+def tick_renewal(
+    tables: BalancerTables, council: Council, now: float, outbox: Outbox
+) -> None:
+    """Ask the coordinator for the own lease."""
+    membership = tables.membership
+    if membership is None or tables.stopping or now < council.next_renewal_at:
+        return
+    coordinator = council.coordinator_id
+    if now >= council.coordinator_heard_at + GRANT_SECONDS:
+        return
+    council.next_renewal_at = now + RENEWAL_SECONDS
+    renewal = Renewal(
+        council.scope,
+        tables.instance_id,
+        membership.incarnation,
+        now,
+        tables.view.epoch,
+        membership.fence_epoch,
+        tables.placements.version,
+        report_buckets(tables),
+    )
+    outbox.append(ToPeer(coordinator, renewal))
+
+
+def take_lease(tables: BalancerTables, now: float, lease: Lease) -> None:
+    """Act under the coordinator's view up to the end of the lease."""
+    membership = tables.membership
+    if membership is None or lease.incarnation != membership.incarnation:
+        return
+    if tables.stopping or lease.epoch < tables.view.epoch:
+        return
+    if lease.epoch > tables.view.epoch:
+        if not lease.members:
+            return
+        view = make_view(membership, lease.epoch, lease.members)
+        install_view(tables, now, view)
+    if lease.placements is not None:
+        tables.placements = lease.placements
+    tables.lease_until = max(tables.lease_until, lease.sent_at + LEASE_SECONDS)
+
+
+def take_renewal(
+    tables: BalancerTables, now: float, renewal: Renewal, outbox: Outbox
+) -> None:
+    """Give a member its lease, as coordinator."""
+    council = council_of(tables, renewal.scope)
+    if council is None or not is_coordinating(council, now):
+        return
+    held = council.leases_by_id.get(renewal.member_id)
+    if held is not None and renewal.incarnation < held.incarnation:
+        tables.counters['', 'renewal-old-incarnation'] += 1
+        return
+    if held is None or renewal.incarnation > held.incarnation:
+        held = MemberLease(renewal.incarnation, now)
+        council.leases_by_id[renewal.member_id] = held
+    # Waiting for a view that names it keeps a member known, without a lease.
+    held.until = max(held.until, now + LEASE_SECONDS + MARGIN_SECONDS)
+    held.placement_version = renewal.placement_version
+    tables.reports_by_member[renewal.member_id] = renewal.reports
+    shown = max(renewal.epoch, renewal.fence_epoch)
+    council.epoch_floor = max(council.epoch_floor, shown)
+    answer_renewal(tables, council, renewal, outbox)
+
+
+def answer_renewal(
+    tables: BalancerTables,
+    council: Council,
+    renewal: Renewal,
+    outbox: Outbox,
+) -> None:
+    """Answer with a lease if the view in force names the member."""
+    view = council.view
+    if view is None or council.epoch_floor > view.epoch:
+        return
+    named = view.incarnations_by_id.get(renewal.member_id)
+    if named != renewal.incarnation:
+        return
+    is_behind = renewal.placement_version != tables.placements.version
+    lease = Lease(
+        council.scope,
+        renewal.incarnation,
+        renewal.sent_at,
+        view.epoch,
+        members_of(view) if renewal.epoch < view.epoch else (),
+        tables.placements if is_behind else None,
+    )
+    outbox.append(ToPeer(renewal.member_id, lease))
+
+
+def take_leave(tables: BalancerTables, now: float, leave: Leave) -> None:
+    """Free the grant of a sender that has stopped, and take it out."""
+    council = council_of(tables, leave.scope)
+    if council is None:
+        return
+    if council.promised_to == leave.member_id:
+        council.promised_until = min(council.promised_until, now)
+    if council.coordinator_id == leave.member_id:
+        council.coordinator_heard_at = -math.inf
+    held = council.leases_by_id.get(leave.member_id)
+    if held is not None and held.incarnation <= leave.incarnation:
+        council.leases_by_id.pop(leave.member_id)
+
+
+def take_new_view(tables: BalancerTables, now: float, message: NewView) -> None:
+    """Put a view in force that a majority knows."""
+    membership = tables.membership
+    if membership is None:
+        return
+    view = make_view(membership, message.epoch, message.members)
+    council = council_of(tables, message.scope)
+    if install_view(tables, now, view) and council is not None:
+        council.next_renewal_at = now
+
+
+def advance_view(
+    tables: BalancerTables, council: Council, now: float, outbox: Outbox
+) -> None:
+    """Change the view as members come and go, as coordinator."""
+    membership = tables.membership
+    if membership is None or not is_coordinating(council, now):
+        return
+    drop_silent(tables, council, now)
+    commit_proposal(tables, council, outbox)
+    propose_change(tables, membership, council, now)
+    renew_own_lease(tables, council, now)
+
+
+def tick_placements(
+    tables: BalancerTables, council: Council, now: float
+) -> None:
+    """Plan the next placements, as coordinator with a view."""
+    if council.view is None or not is_coordinating(council, now):
+        return
+    tables.placements = plan_placements(
+        tables, now, acknowledged_version(tables, council)
+    )
+
+
+def tick_leave(
+    tables: BalancerTables, council: Council, now: float, outbox: Outbox
+) -> None:
+    """Give the lease back before a planned stop.
+
+    A coordinator first puts a view in force that does not name it.
+    """
+    membership = tables.membership
+    if membership is None or not tables.stopping:
+        return
+    tables.lease_until = -math.inf
+    if is_coordinating(council, now):
+        is_named = council.view is None or (
+            tables.instance_id in council.view.members_by_id
+        )
+        if is_named and council.leases_by_id:
+            return
+        resign(tables, council)
+    if now < council.next_renewal_at:
+        return
+    council.next_renewal_at = now + RENEWAL_SECONDS
+    leave = Leave(council.scope, tables.instance_id, membership.incarnation)
+    for voter in council.voters:
+        if voter != tables.instance_id:
+            outbox.append(ToPeer(voter, leave))
+
+
+def has_left(tables: BalancerTables) -> bool:
+    """Tell whether the view in force no longer names this balancer."""
+    return tables.instance_id not in tables.view.members_by_id
+
+
+def drop_silent(tables: BalancerTables, council: Council, now: float) -> None:
+    """Forget members whose lease has run out."""
+    silent = [
+        member_id
+        for member_id, held in council.leases_by_id.items()
+        if now >= held.until
+    ]
+    for member_id in silent:
+        council.leases_by_id.pop(member_id)
+        tables.reports_by_member.pop(member_id, None)
+        tables.counters['', 'member-silent'] += 1
+
+
+def commit_proposal(
+    tables: BalancerTables, council: Council, outbox: Outbox
+) -> None:
+    """Give leases under the proposed view once a majority knows it."""
+    proposed = council.proposed
+    if proposed is None or granted_since(council) < council.proposed_at:
+        return
+    council.view = proposed
+    council.proposed = None
+    message = NewView(council.scope, proposed.epoch, members_of(proposed))
+    for voter in council.voters:
+        if voter != tables.instance_id:
+            outbox.append(ToPeer(voter, message))
+
+
+def propose_change(
+    tables: BalancerTables,
+    membership: Membership,
+    council: Council,
+    now: float,
+) -> None:
+    """Propose the next view if the members with a lease have changed."""
+    if council.proposed is not None:
+        return
+    wanted = wanted_members(tables, membership, council)
+    epoch = council.view.epoch if council.view else 0
+    current = members_of(council.view) if council.view else ()
+    if wanted == current and council.epoch_floor <= epoch:
+        return
+    floor = max(council.known_epoch, council.epoch_floor)
+    council.proposed = make_view(membership, floor + 1, wanted)
+    council.proposed_at = now
+    council.known_epoch = council.proposed.epoch
+    council.known_members = wanted
+    council.next_claim_at = now
+
+
+def wanted_members(
+    tables: BalancerTables, membership: Membership, council: Council
+) -> tuple[ViewMember, ...]:
+    """List the coordinator, unless it leaves, and the members it hears."""
+    wanted = [
+        ViewMember(member_id, held.incarnation)
+        for member_id, held in council.leases_by_id.items()
+    ]
+    if not tables.stopping:
+        wanted.append(ViewMember(tables.instance_id, membership.incarnation))
+    return tuple(sorted(wanted))
+
+
+def renew_own_lease(
+    tables: BalancerTables, council: Council, now: float
+) -> None:
+    """Act under the own view as long as the coordinator's lease runs."""
+    view = council.view
+    if view is None or view.epoch < tables.view.epoch:
+        return
+    install_view(tables, now, view)
+    if tables.stopping or tables.instance_id not in view.members_by_id:
+        return
+    end = min(coordinator_until(council), now + LEASE_SECONDS)
+    tables.lease_until = max(tables.lease_until, end)
+
+
+def acknowledged_version(tables: BalancerTables, council: Council) -> int:
+    """Find the lowest version that a member with a lease has in force."""
+    return min(
+        (held.placement_version for held in council.leases_by_id.values()),
+        default=tables.placements.version,
+    )
--- a/src/mustardhold/systems/ownership.py
+++ b/src/mustardhold/systems/ownership.py
@@ -15,5 +15,35 @@
 
 
 def is_lease_live(tables: BalancerTables, now: float) -> bool:
-    """Tell whether this balancer may act as an owner."""
-    return now < tables.lease_until
+    """Tell whether this balancer may act as an owner.
+
+    It may not after its lease has run out, nor once a message has shown that
+    a newer view than its own is in force.
+    """
+    if now >= tables.lease_until:
+        return False
+    membership = tables.membership
+    return membership is None or membership.fence_epoch <= tables.view.epoch
+
+
+def raise_fence(tables: BalancerTables, epoch: int) -> bool:
+    """Stop acting on a view that is older than one a message has shown.
+
+    Returns
+    -------
+    bool
+        Whether the view in force is older.
+    """
+    membership = tables.membership
+    if membership is None or epoch <= tables.view.epoch:
+        return False
+    if epoch > membership.fence_epoch:
+        membership.fence_epoch = epoch
+        for council in membership.councils:
+            council.next_renewal_at = 0
+    return True
+
+
+def is_ready(tables: BalancerTables, now: float) -> bool:
+    """Tell whether the fabric may hand packets to this balancer."""
+    return not tables.stopping and is_lease_live(tables, now)
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -1,21 +1,57 @@
 """Messages from other balancers, and the work of each tick."""
 
-from mustardhold.systems.affinity import take_caller_packet
+from mustardhold.systems.affinity import (
+    refuse_overdue,
+    retake_packets,
+    take_answer,
+    take_relay,
+)
 from mustardhold.systems.announcements import (
     expire_backends,
     take_announcement,
 )
+from mustardhold.systems.coordination import (
+    take_claim,
+    take_granted,
+    tick_claims,
+)
+from mustardhold.systems.holding import ask_again, expire_early, take_ask
+from mustardhold.systems.leases import (
+    advance_view,
+    take_lease,
+    take_leave,
+    take_new_view,
+    take_renewal,
+    tick_leave,
+    tick_placements,
+    tick_renewal,
+)
 from mustardhold.systems.records import forget_flow, take_chain
 from mustardhold.systems.requests import expire_requests
+from mustardhold.systems.transfers import (
+    take_page,
+    take_page_taken,
+    tick_transfers,
+)
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox
-from mustardhold.tables.packets import CallerPacket
 from mustardhold.tables.peers import (
+    AskRecord,
     BackendShared,
+    Claim,
+    CouncilMessage,
     FlowClosed,
+    Granted,
+    HandoverMessage,
+    Lease,
+    NewView,
+    PageTaken,
     PeerMessage,
     RecordChain,
+    RecordPage,
     Relay,
+    Renewal,
+    TellRecord,
 )
 
 
@@ -24,18 +60,90 @@
 ) -> None:
     """Act on a message from another balancer."""
     match message:
-        case Relay(packet=packet, hops=hops):
-            if isinstance(packet, CallerPacket):
-                take_caller_packet(tables, now, packet, outbox, hops)
+        case Relay():
+            take_relay(tables, now, message, outbox)
         case RecordChain():
-            take_chain(tables, message, outbox)
+            take_chain(tables, now, message, outbox)
         case FlowClosed(flow=flow):
             forget_flow(tables, flow)
         case BackendShared(backend=backend):
             take_announcement(tables, now, backend)
+        case AskRecord() | TellRecord() | RecordPage() | PageTaken():
+            take_handover_message(tables, now, message, outbox)
+        case _:
+            take_council_message(tables, now, message, outbox)
+
+
+def take_handover_message(
+    tables: BalancerTables,
+    now: float,
+    message: HandoverMessage,
+    outbox: Outbox,
+) -> None:
+    """Act on a message about records that change their owners."""
+    match message:
+        case AskRecord():
+            take_ask(tables, now, message, outbox)
+        case TellRecord():
+            take_answer(tables, now, message, outbox)
+        case RecordPage():
+            take_page(tables, message, outbox)
+        case PageTaken():
+            take_page_taken(tables, message)
+
+
+def take_council_message(
+    tables: BalancerTables, now: float, message: CouncilMessage, outbox: Outbox
+) -> None:
+    """Act on a message about the members of the group."""
+    epoch = tables.view.epoch
+    match message:
+        case Claim():
+            take_claim(tables, now, message, outbox)
+        case Granted():
+            take_granted(tables, now, message)
+        case Renewal():
+            take_renewal(tables, now, message, outbox)
+        case Lease():
+            take_lease(tables, now, message)
+        case NewView():
+            take_new_view(tables, now, message)
+        case _:
+            take_leave(tables, now, message)
+    run_councils(tables, now, outbox)
+    if tables.view.epoch != epoch:
+        retake_packets(tables, now, outbox)
+
+
+def run_councils(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Change views, and ask for leases that are due."""
+    membership = tables.membership
+    if membership is None:
+        return
+    for council in membership.councils:
+        advance_view(tables, council, now, outbox)
+        tick_claims(tables, council, now, outbox)
+        tick_renewal(tables, council, now, outbox)
 
 
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Do the work that time asks for."""
     expire_requests(tables, now)
     expire_backends(tables, now)
+    tick_membership(tables, now, outbox)
+    tick_transfers(tables, now, outbox)
+    ask_again(tables, now, outbox)
+    refuse_overdue(tables, now, outbox)
+    expire_early(tables, now)
+
+
+def tick_membership(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Take part in the agreement on the members of the group."""
+    epoch = tables.view.epoch
+    run_councils(tables, now, outbox)
+    if tables.membership is not None:
+        for council in tables.membership.councils:
+            tick_placements(tables, council, now)
+            tick_leave(tables, council, now, outbox)
+    if tables.view.epoch != epoch:
+        retake_packets(tables, now, outbox)
--- a/src/mustardhold/systems/records.py
+++ b/src/mustardhold/systems/records.py
@@ -1,6 +1,6 @@
 """Records of flows at the owners of their bucket."""
 
-from mustardhold.systems.ownership import owners_for
+from mustardhold.systems.ownership import owners_for, raise_fence
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
@@ -23,13 +23,25 @@
 
 
 def take_chain(
-    tables: BalancerTables, chain: RecordChain, outbox: Outbox
+    tables: BalancerTables, now: float, chain: RecordChain, outbox: Outbox
 ) -> None:
-    """Store a record as one of its owners and pass it on."""
-    if chain.flow not in tables.flows_by_key:
+    """Store a record as one of its owners and pass it on.
+
+    A chain of an older view is dropped: the primary owner in the newer one
+    may already have been told that the flow is not known here.
+    """
+    raise_fence(tables, chain.epoch)
+    if chain.epoch < tables.view.epoch or now >= tables.lease_until:
+        tables.counters[chain.service, 'chain-outdated'] += 1
+        return
+    known = tables.flows_by_key.get(chain.flow)
+    if known is None:
         tables.flows_by_key[chain.flow] = FlowRecord(
             chain.service, chain.backend_id, is_primary=False
         )
+    elif known.backend_id != chain.backend_id:
+        tables.counters[chain.service, 'record-conflict'] += 1
+        return
     rest = RecordChain(
         chain.epoch,
         chain.flow,
--- /dev/null
+++ b/src/mustardhold/systems/views.py
@@ -0,0 +1,39 @@
+"""Puts views in force, and stops acting on a view that is out of date."""
+
+from mustardhold.systems.handover import start_handover
+from mustardhold.systems.hashing import owners_of
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import BUCKETS_PER_POOL
+from mustardhold.tables.views import View
+
+
+def install_view(tables: BalancerTables, now: float, view: View) -> bool:
+    """Put a newer view in force; an older one changes nothing.
+
+    Returns
+    -------
+    bool
+        Whether the view was newer.
+    """
+    if view.epoch <= tables.view.epoch:
+        return False
+    before = tables.view
+    tables.view = view
+    tables.owners_by_bucket = {
+        bucket: owners_of(bucket, view.members_by_id)
+        for bucket in range(BUCKETS_PER_POOL)
+    }
+    note_primaries(tables, now)
+    tables.counters['', 'view-installed'] += 1
+    start_handover(tables, before)
+    return True
+
+
+def note_primaries(tables: BalancerTables, now: float) -> None:
+    """Keep since when this balancer is the primary owner of each bucket."""
+    since = tables.primary_since_by_bucket
+    tables.primary_since_by_bucket = {
+        bucket: since.get(bucket, now)
+        for bucket, owners in tables.owners_by_bucket.items()
+        if owners and owners[0] == tables.instance_id
+    }
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 
 from mustardhold.tables.backends import KnownBackend
+from mustardhold.tables.coordination import Membership
 from mustardhold.tables.flows import FlowRecord, RequestRecord
+from mustardhold.tables.handover import Handover
 from mustardhold.tables.placement import BucketReport, PlacementSet
 from mustardhold.tables.routing import RoutingTable, empty_table
 from mustardhold.tables.views import View
@@ -26,6 +28,11 @@
     lease_until
         Reading of the local monotonic clock, in seconds, up to which this
         balancer may act as an owner.
+    membership
+        Part in the agreement on the view; none where the view is fixed.
+    primary_since_by_bucket
+        Reading of the local monotonic clock, in seconds, since which this
+        balancer is the primary owner of a bucket.
     """
 
     instance_id: str
@@ -43,4 +50,7 @@
         default_factory=dict
     )
     lease_until: float = math.inf
+    membership: Membership | None = None
+    handover: Handover = field(default_factory=Handover)
+    primary_since_by_bucket: dict[int, float] = field(default_factory=dict)
     stopping: bool = False
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -16,8 +16,21 @@
 RECORD_OWNERS: Final = 3
 RELAY_HOPS: Final = 2
 PACKETS_PER_BATCH: Final = 64
+MAX_HELD_PER_FLOW: Final = 16
+RECORDS_PER_PAGE: Final = 160
+HANDOVER_BYTES_PER_SECOND: Final = 1200
 
 TICK: Final = timedelta(milliseconds=100)
+GRANT_LIFETIME: Final = timedelta(seconds=2)
+LEASE_LIFETIME: Final = timedelta(seconds=2)
+LEASE_MARGIN: Final = timedelta(milliseconds=100)
+RENEWAL_INTERVAL: Final = timedelta(milliseconds=300)
+CAMPAIGN_LIFETIME: Final = timedelta(milliseconds=600)
+CANDIDATE_STAGGER: Final = timedelta(milliseconds=300)
+ASK_INTERVAL: Final = timedelta(milliseconds=100)
+OVERTAKEN_HOLD: Final = timedelta(milliseconds=50)
+EARLY_HOLD: Final = timedelta(seconds=1)
+PAGE_TIMEOUT: Final = timedelta(milliseconds=300)
 ANNOUNCE_INTERVAL: Final = timedelta(milliseconds=500)
 ANNOUNCE_LIFETIME: Final = timedelta(seconds=3)
 REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -4,6 +4,8 @@
 
 from mustardhold.tables.backends import BackendServer
 from mustardhold.tables.packets import FlowKey, Packet
+from mustardhold.tables.placement import BucketReport, PlacementSet
+from mustardhold.tables.views import ViewMember
 
 
 class Relay(msgspec.Struct, array_like=True, tag=30, frozen=True):
@@ -54,4 +56,167 @@
     backend: BackendServer
 
 
-PeerMessage = Relay | RecordChain | FlowClosed | BackendShared
+class Claim(msgspec.Struct, array_like=True, tag=40, frozen=True):
+    """Asks a voter for the coordinator's lease, or to renew it.
+
+    Attributes
+    ----------
+    scope
+        Council that is asked; empty for the whole group.
+    sent_at
+        Reading of the candidate's clock; the lease runs from here.
+    epoch, members
+        Newest view that the candidate knows or proposes.
+    is_coordinator
+        Whether the candidate holds the lease already.
+    """
+
+    scope: str
+    candidate_id: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    members: tuple[ViewMember, ...]
+    is_coordinator: bool
+
+
+class Granted(msgspec.Struct, array_like=True, tag=41, frozen=True):
+    """A voter's grant of a claim.
+
+    Attributes
+    ----------
+    epoch, members
+        Newest view that the voter knows; no members if the claim named it.
+    previous_id
+        Candidate that the voter had promised the lease before.
+    """
+
+    scope: str
+    voter_id: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    members: tuple[ViewMember, ...]
+    placement_version: int
+    previous_id: str
+
+
+class Renewal(msgspec.Struct, array_like=True, tag=42, frozen=True):
+    """Asks the coordinator for a member's lease.
+
+    Attributes
+    ----------
+    sent_at
+        Reading of the member's clock; the lease runs from here.
+    epoch, placement_version
+        What the member has in force.
+    fence_epoch
+        Highest epoch that a message has shown the member.
+    """
+
+    scope: str
+    member_id: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    fence_epoch: int
+    placement_version: int
+    reports: tuple[BucketReport, ...] = ()
+
+
+class Lease(msgspec.Struct, array_like=True, tag=43, frozen=True):
+    """A member's lease under a view.
+
+    Attributes
+    ----------
+    members
+        The view's members; empty if the member has the view in force.
+    placements
+        Set if the member's placements are older.
+    """
+
+    scope: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    members: tuple[ViewMember, ...] = ()
+    placements: PlacementSet | None = None
+
+
+class NewView(msgspec.Struct, array_like=True, tag=45, frozen=True):
+    """Tells a balancer of a view that a majority knows."""
+
+    scope: str
+    epoch: int
+    members: tuple[ViewMember, ...]
+
+
+class Leave(msgspec.Struct, array_like=True, tag=44, frozen=True):
+    """Gives a lease back: the sender no longer acts on any lease."""
+
+    scope: str
+    member_id: str
+    incarnation: int
+
+
+class AskRecord(msgspec.Struct, array_like=True, tag=50, frozen=True):
+    """Asks a member whether it knows a flow.
+
+    The asker is the primary owner in the view of this epoch; a member with
+    an older view stops acting on it.
+    """
+
+    asker_id: str
+    epoch: int
+    flow: FlowKey
+
+
+class TellRecord(msgspec.Struct, array_like=True, tag=51, frozen=True):
+    """Answers whether a member knows a flow; no server if it does not."""
+
+    member_id: str
+    epoch: int
+    flow: FlowKey
+    service: str = ''
+    backend_id: str = ''
+
+
+class RecordPage(msgspec.Struct, array_like=True, tag=52, frozen=True):
+    """Records of flows for a new owner, grouped by their server.
+
+    Attributes
+    ----------
+    callers
+        First six bytes of each flow's key, joined.
+    is_last
+        Whether the sender has no more records for this epoch.
+    """
+
+    sender_id: str
+    epoch: int
+    sequence: int
+    service: str
+    backend_id: str
+    service_address: bytes
+    callers: bytes
+    is_last: bool
+
+
+class PageTaken(msgspec.Struct, array_like=True, tag=53, frozen=True):
+    """Acknowledges a page of records."""
+
+    member_id: str
+    epoch: int
+    sequence: int
+
+
+CouncilMessage = Claim | Granted | Renewal | Lease | NewView | Leave
+HandoverMessage = AskRecord | TellRecord | RecordPage | PageTaken
+PeerMessage = (
+    Relay
+    | RecordChain
+    | FlowClosed
+    | BackendShared
+    | CouncilMessage
+    | HandoverMessage
+)
--- a/src/mustardhold/tables/views.py
+++ b/src/mustardhold/tables/views.py
@@ -17,6 +17,13 @@
     peer_address: str
 
 
+class ViewMember(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """One start of a balancer, as a view names it."""
+
+    instance_id: str
+    incarnation: int
+
+
 class View(msgspec.Struct, frozen=True):
     """The members that own buckets.
 
@@ -24,7 +31,10 @@
     ----------
     epoch
         Rises with every change of the members.
+    incarnations_by_id
+        Start of each member that the view means.
     """
 
     epoch: int
     members_by_id: dict[str, Member]
+    incarnations_by_id: dict[str, int] = {}
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -14,25 +14,31 @@
 from mustardhold.systems import affinity, peers
 from mustardhold.systems.addresses import pack_address
 from mustardhold.systems.announcements import take_announced
+from mustardhold.systems.coordination import join_group
+from mustardhold.systems.leases import has_left
 from mustardhold.systems.routing import install_table
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.constants import TICK
+from mustardhold.tables.constants import GRANT_LIFETIME, STOP_BOUND, TICK
 from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
 from mustardhold.tables.packets import BackendPacket, CallerPacket
 from mustardhold.tables.peers import PeerMessage, RecordChain, Relay
 from mustardhold.tables.routing import Pool, Route, RoutingTable
-from mustardhold.tables.views import Member, View
+from mustardhold.tables.views import Member
 from tools.fakes.callers import FlowSeen, note_packet
 from tools.fakes.event_queue import (
     Action,
     EventQueue,
     make_queue,
+    schedule,
     schedule_every,
 )
 from tools.fakes.network import Network, send
 from tools.fakes.servers import FakeServer, serve_packet
 
 FABRIC = 'fabric'
+# The first balancers have no earlier start whose grants they must wait out.
+FOUNDED_AT = -GRANT_LIFETIME.total_seconds()
+LINGER_SECONDS = 0.5
 DATA_MESSAGES = (Relay, RecordChain)
 
 
@@ -82,6 +88,8 @@
     flows_by_key: dict[bytes, FlowSeen] = field(default_factory=dict)
     backlog_by_frozen: dict[str, list[Action]] = field(default_factory=dict)
     bytes_by_message: Counter[tuple[str, str]] = field(default_factory=Counter)
+    group_by_id: dict[str, Member] = field(default_factory=dict)
+    starts: int = 0
     packets: int = 0
     relayed: int = 0
 
@@ -92,6 +100,17 @@
     balancer_ids: tuple[str, ...],
     servers: tuple[FakeServer, ...],
     data_centre: str = 'dc-1',
+) -> Fleet:
+    """Make a fleet whose balancers are in one data centre."""
+    placed = dict.fromkeys(balancer_ids, data_centre)
+    return make_spanning_fleet(seed, logic, placed, servers)
+
+
+def make_spanning_fleet(
+    seed: int,
+    logic: Logic,
+    data_centre_by_balancer: Mapping[str, str],
+    servers: tuple[FakeServer, ...],
 ) -> Fleet:
     """Make balancers that know each other, and servers that announce.
 
@@ -104,12 +123,12 @@
         for number, service in enumerate(services, start=1)
     }
     fleet = Fleet(queue, Network(queue), logic, addresses)
-    members = {
-        name: Member(name, data_centre, '127.0.0.1:1') for name in balancer_ids
+    fleet.group_by_id = {
+        name: Member(name, data_centre, '127.0.0.1:1')
+        for name, data_centre in data_centre_by_balancer.items()
     }
-    for name in balancer_ids:
-        tables = BalancerTables(name, data_centre, View(1, members))
-        add_balancer(fleet, tables)
+    for name in data_centre_by_balancer:
+        start_balancer(fleet, name, started_at=FOUNDED_AT)
     for server in servers:
         add_server(fleet, server)
     return fleet
@@ -126,6 +145,17 @@
     return RoutingTable(version, routes, entries, {})
 
 
+def start_balancer(
+    fleet: Fleet, name: str, started_at: float | None = None
+) -> BalancerTables:
+    """Start a balancer of the group, knowing nothing."""
+    fleet.starts += 1
+    now = fleet.queue.now if started_at is None else started_at
+    tables = join_group(name, now, fleet.starts, fleet.group_by_id.values())
+    add_balancer(fleet, tables)
+    return tables
+
+
 def add_balancer(fleet: Fleet, tables: BalancerTables) -> None:
     """Start a balancer and put it into the spray."""
     name = tables.instance_id
@@ -176,7 +206,31 @@
     """End a balancer at once; the fabric stops handing it packets."""
     fleet.balancers_by_id.pop(name)
     fleet.network.down.add(name)
-    fleet.spray.remove(name)
+    if name in fleet.spray:
+        fleet.spray.remove(name)
+
+
+def stop_gracefully(fleet: Fleet, name: str) -> None:
+    """Let a balancer leave, then end it once its view no longer names it."""
+    tables = fleet.balancers_by_id[name]
+    tables.stopping = True
+    deadline = fleet.queue.now + STOP_BOUND.total_seconds()
+
+    def end_when_left() -> None:
+        if fleet.balancers_by_id.get(name) is not tables:
+            return
+        if has_left(tables) or fleet.queue.now >= deadline:
+            fleet.spray.remove(name)
+            schedule(fleet.queue, LINGER_SECONDS, end)
+        else:
+            schedule(fleet.queue, TICK.total_seconds(), end_when_left)
+
+    def end() -> None:
+        if fleet.balancers_by_id.get(name) is tables:
+            fleet.balancers_by_id.pop(name)
+            fleet.network.down.add(name)
+
+    end_when_left()
 
 
 def freeze(fleet: Fleet, name: str) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from pathlib import Path
 
 import httpx
@@ -62,7 +63,7 @@
 
 
 def wait_ready(http_address: str) -> None:
-    """Wait until a process answers over HTTP.
+    """Wait until a process answers over HTTP that it is ready.
 
     Raises
     ------
@@ -72,11 +73,13 @@
     deadline = time.monotonic() + READY_SECONDS
     while time.monotonic() < deadline:
         try:
-            httpx.get(f'http://{http_address}/status', timeout=1)
+            reply = httpx.get(f'http://{http_address}/ready', timeout=1)
         except httpx.HTTPError:
             time.sleep(POLL_SECONDS)
-        else:
+            continue
+        if reply.status_code != HTTPStatus.SERVICE_UNAVAILABLE:
             return
+        time.sleep(POLL_SECONDS)
     raise TimeoutError(f'{http_address} does not answer')
 
 
