Prove that flows survive planned changes and lost owners

Cause, seen by the new proofs: a member that joined counted as complete once the one that was sending it records had left; a balancer that thawed relayed openings that were 30 s old; a server silent to one balancer ended its flows; a candidate that had failed held its own promise for two seconds.

Change: a member says when it has all records of its buckets, and only such members are trusted to send them on; without one, every holder sends. Packets that waited while a balancer was frozen are dropped. A record whose server is not heard of ends no flow.

--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,6 +1,7 @@
 """The way of a packet: to its bucket's base, or through its flow's owner."""
 
-from mustardhold.systems.handover import missing_members
+from mustardhold.systems.freezing import is_stale
+from mustardhold.systems.handover import missing_members, store_record
 from mustardhold.systems.hashing import bucket_of
 from mustardhold.systems.holding import (
     hold_early,
@@ -20,7 +21,7 @@
 from mustardhold.systems.requests import forward_request, note_answer
 from mustardhold.systems.routing import service_of
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.constants import ANNOUNCE_LIFETIME, RELAY_HOPS
+from mustardhold.tables.constants import RELAY_HOPS
 from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
 from mustardhold.tables.packets import (
@@ -45,7 +46,7 @@
     hops: int = 0,
 ) -> None:
     """Decide on a packet from a caller, or relay it to its flow's owner."""
-    if forward_settled(tables, now, packet, outbox):
+    if is_stale(tables, now) or forward_settled(tables, now, packet, outbox):
         return
     owners = owners_for(tables, packet.flow)
     if not owners:
@@ -118,21 +119,25 @@
     owners: tuple[str, ...],
     outbox: Outbox,
 ) -> None:
-    """Decide on a caller's packet as primary owner of its bucket."""
+    """Decide on a caller's packet as primary owner of its bucket.
+
+    A packet without a record may have overtaken its flow's opening.
+    """
     record = tables.flows_by_key.get(packet.flow)
     if record:
         forward_recorded(tables, now, packet, record, outbox)
         return
-    missing = missing_members(tables, bucket_of(packet.flow))
     if settled_base(tables, packet.flow):
         use_base(tables, now, packet, outbox)
-    elif missing:
+        return
+    missing = missing_members(tables, bucket_of(packet.flow))
+    if missing:
         hold_packet(tables, now, packet, missing, outbox)
     elif isinstance(packet, Open):
         open_flow(tables, packet, None, owners, outbox)
         forward_held(tables, now, packet.flow, outbox)
     else:
-        use_base(tables, now, packet, outbox)
+        hold_packet(tables, now, packet, set(), outbox)
 
 
 def use_base(
@@ -143,22 +148,17 @@
 ) -> None:
     """Forward a packet of a flow that no member has a record of.
 
-    Such a flow is at its bucket's base; without one, the packet may have
-    overtaken its flow's opening.
+    Such a flow is at its bucket's base; without one, it is not known.
     """
     service = service_of(tables, packet.flow)
     placement = tables.placements.placements_by_pool.get(service or '')
     if service is None or placement is None:
-        hold_packet(tables, now, packet, set(), outbox)
+        refuse_unowned(tables, packet, outbox)
         return
     bucket = bucket_of(packet.flow)
-    base = placement.bases[bucket]
-    record = FlowRecord(service, base, is_primary=True)
+    record = FlowRecord(service, placement.bases[bucket], is_primary=True)
     if bucket in placement.moving:
-        tables.flows_by_key[packet.flow] = record
-        known = tables.backends_by_id.get(base)
-        if known is not None:
-            known.held_flows += 1
+        store_record(tables, packet.flow, service, record.backend_id)
     forward_recorded(tables, now, packet, record, outbox)
 
 
@@ -176,7 +176,7 @@
         return
     known = tables.backends_by_id.get(record.backend_id)
     if known is None:
-        refuse_unreachable(tables, now, packet, outbox)
+        refuse_unreachable(tables, packet, outbox)
         return
     if isinstance(packet, Request):
         forward_request(tables, now, packet, known, outbox)
@@ -241,29 +241,27 @@
         take_caller_packet(tables, now, one.packet, outbox, one.hops)
 
 
-def refuse_overdue(tables: BalancerTables, now: float, outbox: Outbox) -> None:
-    """Refuse packets whose opening has not come."""
+def decide_overdue(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Decide on packets whose opening has not come."""
     for flow in overdue_flows(tables, now):
         packets = release_held(tables, flow)
         if is_lease_live(tables, now):
             for packet in packets:
-                refuse_unowned(tables, packet, outbox)
+                decide_unknown(tables, now, packet, outbox)
 
 
 def refuse_unreachable(
-    tables: BalancerTables, now: float, packet: CallerPacket, outbox: Outbox
+    tables: BalancerTables, packet: CallerPacket, outbox: Outbox
 ) -> None:
-    """Answer a packet whose server is not known here.
+    """Answer a packet whose server has not been heard of here.
 
-    A balancer that has just started waits for the announcement.
+    The flow may well live, so nothing but a request is answered.
     """
-    membership = tables.membership
-    lifetime = ANNOUNCE_LIFETIME.total_seconds()
-    is_young = membership and now < membership.started_at + lifetime
-    if is_young and not isinstance(packet, Request):
-        tables.counters['', 'server-not-heard-yet'] += 1
-        return
-    refuse_unowned(tables, packet, outbox)
+    tables.counters['', 'server-unknown'] += 1
+    if isinstance(packet, Request):
+        outbox.append(
+            ToCaller(NotRun(packet.flow, packet.request_id, 'no-server'))
+        )
 
 
 def refuse_unowned(
--- a/src/mustardhold/systems/coordination.py
+++ b/src/mustardhold/systems/coordination.py
@@ -39,9 +39,7 @@
         group_by_id[instance_id].data_centre,
         View(0, group_by_id),
         lease_until=-math.inf,
-        membership=Membership(
-            incarnation, group_by_id, (council,), started_at=now
-        ),
+        membership=Membership(incarnation, group_by_id, (council,), now, now),
     )
 
 
@@ -130,6 +128,9 @@
     if claim.is_coordinator:
         council.coordinator_id = claim.candidate_id
         council.coordinator_heard_at = now
+    has_failed = not council.is_coordinator and now >= council.campaign_until
+    if council.promised_to == tables.instance_id and has_failed:
+        withdraw(council)
     is_held = now < council.promised_until
     if is_held and council.promised_to != claim.candidate_id:
         return
--- /dev/null
+++ b/src/mustardhold/systems/freezing.py
@@ -0,0 +1,35 @@
+"""Notices that this balancer was frozen, and what waited meanwhile."""
+
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import DISCARD_AFTER_FREEZE, FROZEN_AFTER
+
+FROZEN_SECONDS = FROZEN_AFTER.total_seconds()
+DISCARD_SECONDS = DISCARD_AFTER_FREEZE.total_seconds()
+
+
+def note_activity(tables: BalancerTables, now: float) -> None:
+    """Keep when this balancer was last active; notice a gap."""
+    membership = tables.membership
+    if membership is None:
+        return
+    if now - membership.active_at > FROZEN_SECONDS:
+        membership.discard_until = now + DISCARD_SECONDS
+        tables.counters['', 'frozen'] += 1
+    membership.active_at = now
+
+
+def is_stale(tables: BalancerTables, now: float) -> bool:
+    """Tell whether a packet may have waited while we were frozen.
+
+    Its flow may have ended and its request may have been answered or given up
+    since, so that it must not even be relayed.
+    """
+    membership = tables.membership
+    if membership is None:
+        return False
+    if now - membership.active_at > FROZEN_SECONDS:
+        note_activity(tables, now)
+    if now < membership.discard_until:
+        tables.counters['', 'stale-after-freeze'] += 1
+        return True
+    return False
--- a/src/mustardhold/systems/handover.py
+++ b/src/mustardhold/systems/handover.py
@@ -1,7 +1,6 @@
 """Which records a change of the view has to move, and whether they have."""
 
 from collections import deque
-from collections.abc import Iterator
 
 from mustardhold.systems.hashing import bucket_of, owners_of
 from mustardhold.tables.balancer import BalancerTables
@@ -25,8 +24,20 @@
         )
         for bucket in tables.owners_by_bucket
     }
-    note_new_buckets(tables, owners_before)
-    tables.handover.transfers_by_member = plan_transfers(tables, owners_before)
+    complete = {
+        name
+        for name in survivors
+        if tables.handover.complete_by_member.get(name, 0) >= before.epoch
+    }
+    holders_by_bucket = {
+        bucket: tuple(name for name in owners if name in complete)
+        for bucket, owners in owners_before.items()
+    }
+    is_complete = tables.instance_id in complete
+    note_new_buckets(tables, owners_before, is_complete=is_complete)
+    tables.handover.transfers_by_member = plan_transfers(
+        tables, holders_by_bucket
+    )
     recount_primaries(tables)
 
 
@@ -45,15 +56,25 @@
 
 
 def note_new_buckets(
-    tables: BalancerTables, owners_before: dict[int, Owners]
+    tables: BalancerTables,
+    owners_before: dict[int, Owners],
+    *,
+    is_complete: bool,
 ) -> None:
-    """Keep since which epoch this balancer owns each of its buckets."""
-    since = tables.handover.owner_since_by_bucket
+    """Keep since which epoch this balancer owns each of its buckets.
+
+    What an earlier hand-over has left incomplete starts again.
+    """
+    handover = tables.handover
     name = tables.instance_id
-    tables.handover.owner_since_by_bucket = {
-        bucket: since.get(bucket, 0)
-        if name in owners_before[bucket]
-        else tables.view.epoch
+    since = handover.owner_since_by_bucket
+    complete = {
+        bucket
+        for bucket, owners in owners_before.items()
+        if name in owners and (is_complete or since.get(bucket) == 0)
+    }
+    handover.owner_since_by_bucket = {
+        bucket: 0 if bucket in complete else tables.view.epoch
         for bucket, owners in tables.owners_by_bucket.items()
         if name in owners
     }
@@ -62,7 +83,7 @@
 def missing_members(tables: BalancerTables, bucket: int) -> set[str]:
     """List the members that may know a bucket's flow which we do not."""
     handover = tables.handover
-    since = handover.owner_since_by_bucket.get(bucket, 0)
+    since = handover.owner_since_by_bucket.get(bucket, tables.view.epoch)
     if since == 0:
         return set()
     missing = {
@@ -77,7 +98,7 @@
 
 
 def plan_transfers(
-    tables: BalancerTables, owners_before: dict[int, Owners]
+    tables: BalancerTables, holders_by_bucket: dict[int, Owners]
 ) -> dict[str, Transfer]:
     """List the records that each other member has to get from here."""
     transfers = {
@@ -85,14 +106,9 @@
         for name in tables.view.members_by_id
         if name != tables.instance_id
     }
-    unsent = unsent_flows(tables)
     for flow, record in tables.flows_by_key.items():
         bucket = bucket_of(flow)
-        holders = owners_before[bucket]
-        receivers = receivers_of(tables, bucket, holders)
-        if flow in unsent:
-            receivers = tables.owners_by_bucket[bucket]
-        for name in receivers:
+        for name in receivers_of(tables, bucket, holders_by_bucket[bucket]):
             if name != tables.instance_id:
                 add_flow(transfers[name], flow, record)
     return transfers
@@ -103,8 +119,8 @@
 ) -> Owners:
     """List the new owners that get a bucket's records from here.
 
-    The first earlier owner that is left sends them; without one, every
-    balancer that holds a record does.
+    The first earlier owner that is known to have them all sends them; without
+    one, every balancer that holds a record does.
     """
     if holders and holders[0] != tables.instance_id:
         return ()
@@ -112,22 +128,6 @@
     return tuple(name for name in owners if name not in holders)
 
 
-def unsent_flows(tables: BalancerTables) -> set[bytes]:
-    """Collect the flows that an earlier hand-over has not got across."""
-    return {
-        flow
-        for transfer in tables.handover.transfers_by_member.values()
-        for flow in waiting_flows(transfer)
-    }
-
-
-def waiting_flows(transfer: Transfer) -> Iterator[bytes]:
-    """Yield the flows that a member has not acknowledged."""
-    yield from transfer.page
-    for flows in transfer.flows_by_group.values():
-        yield from flows
-
-
 def add_flow(transfer: Transfer, flow: bytes, record: FlowRecord) -> None:
     """Put a record into a transfer."""
     group = RecordGroup(record.service, record.backend_id, flow[HALF_KEY:])
--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -172,7 +172,9 @@
     membership = tables.membership
     if membership is None or not tables.stopping:
         return
-    tables.lease_until = -math.inf
+    if tables.lease_until > -math.inf:
+        tables.lease_until = -math.inf
+        council.next_renewal_at = now
     if is_coordinating(council, now):
         is_named = council.view is None or (
             tables.instance_id in council.view.members_by_id
@@ -190,8 +192,9 @@
 
 
 def has_left(tables: BalancerTables) -> bool:
-    """Tell whether the view in force no longer names this balancer."""
-    return tables.instance_id not in tables.view.members_by_id
+    """Tell whether no view in force names this balancer."""
+    view = tables.view
+    return view.epoch == 0 or tables.instance_id not in view.members_by_id
 
 
 def drop_silent(tables: BalancerTables, council: Council, now: float) -> None:
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -1,7 +1,7 @@
 """Messages from other balancers, and the work of each tick."""
 
 from mustardhold.systems.affinity import (
-    refuse_overdue,
+    decide_overdue,
     retake_packets,
     take_answer,
     take_relay,
@@ -15,6 +15,7 @@
     take_granted,
     tick_claims,
 )
+from mustardhold.systems.freezing import is_stale, note_activity
 from mustardhold.systems.holding import ask_again, expire_early, take_ask
 from mustardhold.systems.leases import (
     advance_view,
@@ -29,6 +30,7 @@
 from mustardhold.systems.records import forget_flow, take_chain
 from mustardhold.systems.requests import expire_requests
 from mustardhold.systems.transfers import (
+    take_complete,
     take_page,
     take_page_taken,
     tick_transfers,
@@ -42,8 +44,10 @@
     CouncilMessage,
     FlowClosed,
     Granted,
+    HandoverComplete,
     HandoverMessage,
     Lease,
+    Leave,
     NewView,
     PageTaken,
     PeerMessage,
@@ -59,6 +63,8 @@
     tables: BalancerTables, now: float, message: PeerMessage, outbox: Outbox
 ) -> None:
     """Act on a message from another balancer."""
+    if is_stale(tables, now):
+        return
     match message:
         case Relay():
             take_relay(tables, now, message, outbox)
@@ -68,10 +74,10 @@
             forget_flow(tables, flow)
         case BackendShared(backend=backend):
             take_announcement(tables, now, backend)
-        case AskRecord() | TellRecord() | RecordPage() | PageTaken():
-            take_handover_message(tables, now, message, outbox)
-        case _:
+        case Claim() | Granted() | Renewal() | Lease() | NewView() | Leave():
             take_council_message(tables, now, message, outbox)
+        case _:
+            take_handover_message(tables, now, message, outbox)
 
 
 def take_handover_message(
@@ -90,6 +96,8 @@
             take_page(tables, message, outbox)
         case PageTaken():
             take_page_taken(tables, message)
+        case HandoverComplete():
+            take_complete(tables, message)
 
 
 def take_council_message(
@@ -128,12 +136,13 @@
 
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Do the work that time asks for."""
+    note_activity(tables, now)
     expire_requests(tables, now)
     expire_backends(tables, now)
     tick_membership(tables, now, outbox)
     tick_transfers(tables, now, outbox)
     ask_again(tables, now, outbox)
-    refuse_overdue(tables, now, outbox)
+    decide_overdue(tables, now, outbox)
     expire_early(tables, now)
 
 
--- a/src/mustardhold/systems/transfers.py
+++ b/src/mustardhold/systems/transfers.py
@@ -12,7 +12,7 @@
 )
 from mustardhold.tables.handover import RecordGroup, Transfer
 from mustardhold.tables.outbox import Outbox, ToPeer
-from mustardhold.tables.peers import PageTaken, RecordPage
+from mustardhold.tables.peers import HandoverComplete, PageTaken, RecordPage
 
 PAGE_BYTES = 64
 NO_GROUP = RecordGroup('', '', b'')
@@ -111,7 +111,7 @@
     if page.is_last:
         done = tables.handover.done_by_member
         done[page.sender_id] = max(done.get(page.sender_id, 0), page.epoch)
-        drop_foreign(tables)
+        note_complete(tables, outbox)
     taken = PageTaken(tables.instance_id, page.epoch, page.sequence)
     outbox.append(ToPeer(page.sender_id, taken))
 
@@ -128,18 +128,40 @@
     transfer.page = ()
     if not transfer.flows_by_group:
         transfers.pop(taken.member_id)
-        drop_foreign(tables)
 
 
-def drop_foreign(tables: BalancerTables) -> None:
-    """Forget records of buckets owned by others, after the hand-over."""
+def note_complete(tables: BalancerTables, outbox: Outbox) -> None:
+    """Tell the others once every member has sent what concerns us."""
     handover = tables.handover
-    if handover.transfers_by_member:
-        return
     epoch = tables.view.epoch
-    others = set(tables.view.members_by_id) - {tables.instance_id}
+    others = [
+        name for name in tables.view.members_by_id if name != tables.instance_id
+    ]
     if any(handover.done_by_member.get(name, 0) < epoch for name in others):
         return
+    if handover.complete_by_member.get(tables.instance_id, 0) >= epoch:
+        return
+    handover.complete_by_member[tables.instance_id] = epoch
+    message = HandoverComplete(tables.instance_id, epoch)
+    outbox.extend(ToPeer(name, message) for name in others)
+    drop_foreign(tables)
+
+
+def take_complete(tables: BalancerTables, message: HandoverComplete) -> None:
+    """Keep that a member has all records of its buckets."""
+    complete = tables.handover.complete_by_member
+    before = complete.get(message.member_id, 0)
+    complete[message.member_id] = max(before, message.epoch)
+    drop_foreign(tables)
+
+
+def drop_foreign(tables: BalancerTables) -> None:
+    """Forget records of other members' buckets once all have theirs."""
+    handover = tables.handover
+    epoch = tables.view.epoch
+    complete = handover.complete_by_member
+    if any(complete.get(name, 0) < epoch for name in tables.view.members_by_id):
+        return
     owned = handover.owner_since_by_bucket
     foreign = [
         flow for flow in tables.flows_by_key if bucket_of(flow) not in owned
--- a/src/mustardhold/tables/coordination.py
+++ b/src/mustardhold/tables/coordination.py
@@ -86,6 +86,10 @@
         Rises with each start of this balancer.
     group_by_id
         Configured balancers of the spray group, running or not.
+    active_at
+        When this balancer last did anything.
+    discard_until
+        Up to when packets may have waited while this balancer was frozen.
     fence_epoch
         Highest epoch that a message has shown; an older view is not acted on.
     """
@@ -94,4 +98,6 @@
     group_by_id: dict[str, Member]
     councils: tuple[Council, ...]
     started_at: float
+    active_at: float
+    discard_until: float = -math.inf
     fence_epoch: int = 0
--- a/src/mustardhold/tables/handover.py
+++ b/src/mustardhold/tables/handover.py
@@ -70,16 +70,20 @@
     Attributes
     ----------
     owner_since_by_bucket
-        Epoch since which this balancer owns a bucket, or keeps its records
-        without a gap; a bucket that is complete at once has epoch 0.
+        Epoch since which this balancer lacks records of a bucket that it
+        owns; 0 if it has them all.
     done_by_member
         Epoch for which each member has sent all records that concern us.
+    complete_by_member
+        Epoch for which each member, this one included, has said that it has
+        all records of the buckets that it owns.
     transfers_by_member
         Records that other members have yet to acknowledge.
     """
 
     owner_since_by_bucket: dict[int, int] = field(default_factory=dict)
     done_by_member: dict[str, int] = field(default_factory=dict)
+    complete_by_member: dict[str, int] = field(default_factory=dict)
     transfers_by_member: dict[str, Transfer] = field(default_factory=dict)
     held_by_flow: dict[bytes, HeldFlow] = field(default_factory=dict)
     held_packets: int = 0
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -210,8 +210,17 @@
     sequence: int
 
 
+class HandoverComplete(msgspec.Struct, array_like=True, tag=54, frozen=True):
+    """Tells that a member has all records of the buckets that it owns."""
+
+    member_id: str
+    epoch: int
+
+
 CouncilMessage = Claim | Granted | Renewal | Lease | NewView | Leave
-HandoverMessage = AskRecord | TellRecord | RecordPage | PageTaken
+HandoverMessage = (
+    AskRecord | TellRecord | RecordPage | PageTaken | HandoverComplete
+)
 PeerMessage = (
     Relay
     | RecordChain
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -210,7 +210,9 @@
         fleet.spray.remove(name)
 
 
-def stop_gracefully(fleet: Fleet, name: str) -> None:
+def stop_gracefully(
+    fleet: Fleet, name: str, then: Action | None = None
+) -> None:
     """Let a balancer leave, then end it once its view no longer names it."""
     tables = fleet.balancers_by_id[name]
     tables.stopping = True
@@ -220,7 +222,8 @@
         if fleet.balancers_by_id.get(name) is not tables:
             return
         if has_left(tables) or fleet.queue.now >= deadline:
-            fleet.spray.remove(name)
+            if name in fleet.spray:
+                fleet.spray.remove(name)
             schedule(fleet.queue, LINGER_SECONDS, end)
         else:
             schedule(fleet.queue, TICK.total_seconds(), end_when_left)
@@ -229,10 +232,19 @@
         if fleet.balancers_by_id.get(name) is tables:
             fleet.balancers_by_id.pop(name)
             fleet.network.down.add(name)
+            if then:
+                then()
 
     end_when_left()
 
 
+def restart(fleet: Fleet, name: str) -> None:
+    """Stop a balancer gracefully and start it again, knowing nothing."""
+    if name not in fleet.balancers_by_id:
+        return
+    stop_gracefully(fleet, name, lambda: start_balancer(fleet, name))
+
+
 def freeze(fleet: Fleet, name: str) -> None:
     """Stop a balancer's clockwork; what arrives waits in its buffers."""
     fleet.backlog_by_frozen[name] = []
--- a/tools/fakes/servers.py
+++ b/tools/fakes/servers.py
@@ -43,6 +43,8 @@
         Openings that arrived while the server was full.
     foreign_packets
         Packets of flows that the server does not hold.
+    foreign_flows
+        Flows of those packets.
     """
 
     backend_id: str
@@ -62,6 +64,7 @@
     opened: int = 0
     refused_opens: int = 0
     foreign_packets: int = 0
+    foreign_flows: set[bytes] = field(default_factory=set)
     flows: set[bytes] = field(default_factory=set)
     busy_until: list[float] = field(default_factory=list)
     runs_by_request: Counter[bytes] = field(default_factory=Counter)
@@ -114,6 +117,7 @@
         serve_flow(queue, server, packet, reply)
     else:
         server.foreign_packets += not isinstance(packet, Close)
+        server.foreign_flows.add(packet.flow)
         reply(FlowEnded(packet.flow))
 
 
--- /dev/null
+++ b/tools/proofs/faults.py
@@ -0,0 +1,115 @@
+"""Planned changes and losses that proofs bring about."""
+
+import functools
+import itertools
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from mustardhold.systems.routing import install_table
+from mustardhold.tables.routing import RoutingTable
+from tools.fakes import fleet as fakes
+from tools.fakes.event_queue import run_until, schedule
+from tools.fakes.fleet import Fleet, Logic
+from tools.fakes.servers import FakeServer, make_servers
+from tools.fakes.traffic import (
+    FlowNumbers,
+    Traffic,
+    broken_flows,
+    start_traffic,
+)
+from tools.registry import Violation
+
+BALANCERS = ('b1', 'b2', 'b3', 'b4', 'b5')
+SPREAD_SECONDS = 2.0
+WARM_UP_SECONDS = 3.0
+
+Fault = Callable[[Fleet, float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """A run under faults.
+
+    Attributes
+    ----------
+    faults
+        Each is scheduled from ``starts_at`` on.
+    """
+
+    faults: Sequence[Fault]
+    starts_at: float = 7
+    end: float = 22
+    openings_per_second: float = 20
+    flow_seconds: float = 20
+    hosts: int = 7
+
+
+def pick_faults(
+    seed: int, faults: Sequence[Fault], together: Sequence[int] = (1, 2)
+) -> tuple[Fault, ...]:
+    """Choose one combination of the faults after the other, by the seed."""
+    picks = [
+        picked
+        for count in together
+        for picked in itertools.combinations(faults, count)
+    ]
+    return picks[seed % len(picks)]
+
+
+def run_scene(
+    seed: int,
+    logic: Logic,
+    scene: Scene,
+    servers: tuple[FakeServer, ...] | None = None,
+) -> Fleet:
+    """Run traffic under the faults of a scene."""
+    hosts = servers or make_servers('werkstatt', scene.hosts)
+    fleet = fakes.make_fleet(seed, logic, BALANCERS, hosts)
+    run_until(fleet.queue, WARM_UP_SECONDS)
+    numbers = FlowNumbers()
+    for service in fleet.address_by_service:
+        traffic = Traffic(
+            service, scene.openings_per_second, scene.flow_seconds
+        )
+        start_traffic(fleet, traffic, scene.end, numbers)
+    for fault in scene.faults:
+        fault(fleet, scene.starts_at)
+    run_until(fleet.queue, scene.end)
+    return fleet
+
+
+def find_broken(fleet: Fleet, promise: str) -> list[Violation]:
+    """Report the first flow that broke although its server lived."""
+    return [
+        Violation(
+            promise,
+            f'flow {seen.flow.hex()}, opened at {seen.opened_at}, ended at '
+            f'{seen.ended_at}, was answered by {sorted(seen.backend_ids)}',
+        )
+        for seen in broken_flows(fleet)[:1]
+    ]
+
+
+def install_unevenly(fleet: Fleet, table: RoutingTable) -> None:
+    """Let a table reach each balancer up to two seconds apart."""
+    for tables in fleet.balancers_by_id.values():
+        install = functools.partial(install_table, tables, table)
+        delay = fleet.queue.rng.uniform(0, SPREAD_SECONDS)
+        schedule(fleet.queue, delay, install)
+
+
+def at(fleet: Fleet, when: float, action: Callable[[], object]) -> None:
+    """Run an action at a virtual time."""
+    schedule(fleet.queue, max(when - fleet.queue.now, 0), action)
+
+
+def choose_living(fleet: Fleet, count: int) -> list[str]:
+    """Choose some balancers that live, in a random order."""
+    living = sorted(fleet.balancers_by_id)
+    return fleet.queue.rng.sample(living, count)
+
+
+def kill_some(fleet: Fleet, count: int) -> None:
+    """Kill some balancers at the same time."""
+    for name in choose_living(fleet, count):
+        fakes.kill(fleet, name)
--- /dev/null
+++ b/tools/proofs/isolation.py
@@ -0,0 +1,87 @@
+"""Packets meant for one service never reach the other."""
+
+import functools
+
+from mustardhold.tables.routing import Pool, Route, RoutingTable
+from tools.fakes import fleet as fakes
+from tools.fakes.fleet import PRODUCT, Fleet, Logic
+from tools.fakes.naive import HASH_ALONE, TABLE_EACH
+from tools.fakes.servers import make_servers
+from tools.proofs.faults import (
+    Scene,
+    at,
+    install_unevenly,
+    kill_some,
+    pick_faults,
+    run_scene,
+)
+from tools.proofs.planned_change import restart_all
+from tools.registry import Proof, Violation
+
+SERVICES = ('werkstatt', 'katalog')
+
+
+def move_address(fleet: Fleet, start: float) -> None:
+    """Move an address from werkstatt to katalog, and back later."""
+    normal = fakes.routing_table(fleet, 9)
+    addresses = tuple(fleet.address_by_service.values())
+    moved = RoutingTable(
+        5,
+        {'katalog': Route('katalog', addresses)},
+        {name: Pool(name) for name in SERVICES},
+        {},
+    )
+    at(fleet, start, lambda: install_unevenly(fleet, moved))
+    at(fleet, start + 4, lambda: install_unevenly(fleet, normal))
+
+
+def drain_katalog(fleet: Fleet, start: float) -> None:
+    """Drain a server of the small pool."""
+    table = fakes.routing_table(
+        fleet, 3, Pool('katalog', drained=('katalog-1',))
+    )
+    at(fleet, start - 1, lambda: install_unevenly(fleet, table))
+
+
+def lose_one(fleet: Fleet, start: float) -> None:
+    """Lose a balancer."""
+    at(fleet, start + 1, functools.partial(kill_some, fleet, 1))
+
+
+FAULTS = (move_address, lose_one, drain_katalog, restart_all)
+
+
+def mixed_flows(fleet: Fleet) -> list[bytes]:
+    """Find the flows of which servers of both services saw a packet."""
+    pools_by_flow: dict[bytes, set[str]] = {}
+    for server in fleet.servers_by_id.values():
+        for flow in (*server.opened_at, *server.foreign_flows):
+            pools_by_flow.setdefault(flow, set()).add(server.pool)
+    return [flow for flow, pools in pools_by_flow.items() if len(pools) > 1]
+
+
+def run_isolation(seed: int, *, naive: bool) -> list[Violation]:
+    """Edit both tables, move addresses and lose balancers."""
+    logic: Logic = PRODUCT
+    if naive:
+        logic = TABLE_EACH if seed % 2 else HASH_ALONE
+    servers = (*make_servers('werkstatt', 7), *make_servers('katalog', 3))
+    scene = Scene(pick_faults(seed, FAULTS), end=19, openings_per_second=10)
+    fleet = run_scene(seed, logic, scene, servers)
+    return [
+        Violation(
+            'a packet meant for werkstatt never reaches katalog',
+            f'flow {flow.hex()} reached servers of both services',
+        )
+        for flow in mixed_flows(fleet)[:1]
+    ]
+
+
+PROOFS = (
+    Proof(
+        'isolation',
+        'no packet of one service reaches the other',
+        run_isolation,
+        ci_seeds=5,
+    ),
+)
--- /dev/null
+++ b/tools/proofs/owner_loss.py
@@ -0,0 +1,104 @@
+"""Flows survive the loss of balancers that know them."""
+
+import functools
+
+from tools.fakes import fleet as fakes
+from tools.fakes.fleet import PRODUCT, Fleet
+from tools.fakes.naive import HASH_ALONE, TABLE_EACH
+from tools.proofs.faults import (
+    Scene,
+    at,
+    find_broken,
+    kill_some,
+    pick_faults,
+    run_scene,
+)
+from tools.proofs.planned_change import drain
+from tools.registry import Proof, Violation
+
+PROMISE = 'a session survives the loss of balancers'
+APART_SECONDS = 10
+REPAIR_SECONDS = 4
+
+
+def lose_one(fleet: Fleet, start: float) -> None:
+    """Lose a balancer."""
+    at(fleet, start, functools.partial(kill_some, fleet, 1))
+
+
+def lose_two_apart(fleet: Fleet, start: float) -> None:
+    """Lose two balancers, ten seconds apart."""
+    lose_one(fleet, start)
+    lose_one(fleet, start + APART_SECONDS)
+
+
+def lose_two_at_once(fleet: Fleet, start: float) -> None:
+    """Lose two balancers at the same moment."""
+    at(fleet, start, functools.partial(kill_some, fleet, 2))
+
+
+def lose_second_after_repair(fleet: Fleet, start: float) -> None:
+    """Lose another balancer as soon as the view has changed."""
+    lose_one(fleet, start)
+    lose_one(fleet, start + fleet.queue.rng.uniform(2, REPAIR_SECONDS))
+
+
+def lose_and_restart(fleet: Fleet, start: float) -> None:
+    """Lose a balancer that starts again at once, knowing nothing."""
+
+    def crash() -> None:
+        name = fleet.queue.rng.choice(sorted(fleet.balancers_by_id))
+        fakes.kill(fleet, name)
+        delay = fleet.queue.rng.uniform(0.1, 4)
+        again = functools.partial(fakes.start_balancer, fleet, name)
+        at(fleet, fleet.queue.now + delay, again)
+
+    at(fleet, start, crash)
+
+
+def lose_packets(fleet: Fleet, start: float) -> None:
+    """Lose, repeat and reorder packets for a while."""
+
+    def degrade() -> None:
+        fleet.network.loss = 0.05
+        fleet.network.repeats = 0.05
+        fleet.network.max_delay = 0.05
+
+    def mend() -> None:
+        fleet.network.loss = 0
+        fleet.network.repeats = 0
+
+    at(fleet, start - 1, degrade)
+    at(fleet, start + 10, mend)
+
+
+LOSSES = (
+    lose_one,
+    lose_two_apart,
+    lose_two_at_once,
+    lose_second_after_repair,
+    lose_and_restart,
+)
+BESIDES = (drain, lose_packets)
+
+
+def run_loss(seed: int, *, naive: bool) -> list[Violation]:
+    """Lose balancers under traffic, alone or with another fault."""
+    logic = PRODUCT
+    if naive:
+        logic = TABLE_EACH if seed % 2 else HASH_ALONE
+    faults = pick_faults(seed, LOSSES, (1,))
+    besides = (seed // len(LOSSES)) % (len(BESIDES) + 1)
+    if besides:
+        faults = (*faults, BESIDES[besides - 1])
+    return find_broken(run_scene(seed, logic, Scene(faults)), PROMISE)
+
+
+PROOFS = (
+    Proof(
+        'owner-loss',
+        'flows survive the loss of one or two balancers',
+        run_loss,
+        ci_seeds=6,
+    ),
+)
--- /dev/null
+++ b/tools/proofs/planned_change.py
@@ -0,0 +1,81 @@
+"""Flows survive every planned change, alone and two at a time."""
+
+import functools
+
+from mustardhold.tables.routing import Pool, Weighting
+from tools.fakes import fleet as fakes
+from tools.fakes.fleet import PRODUCT, Fleet
+from tools.fakes.naive import HASH_ALONE, TABLE_EACH
+from tools.proofs.faults import (
+    Scene,
+    at,
+    find_broken,
+    install_unevenly,
+    pick_faults,
+    run_scene,
+)
+from tools.registry import Proof, Violation
+
+PROMISE = 'a session survives any planned change'
+RESTART_SECONDS = 2.5
+JOINER = 'b5'
+
+
+def restart_all(fleet: Fleet, start: float) -> None:
+    """Restart every balancer, one after the other."""
+    for number, name in enumerate(sorted(fleet.balancers_by_id)):
+        due = start + number * RESTART_SECONDS
+        at(fleet, due, functools.partial(fakes.restart, fleet, name))
+
+
+def join(fleet: Fleet, start: float) -> None:
+    """Let a balancer leave early and join later."""
+    at(fleet, 1, lambda: fakes.stop_gracefully(fleet, JOINER))
+    at(fleet, start, lambda: fakes.start_balancer(fleet, JOINER))
+
+
+def leave(fleet: Fleet, start: float) -> None:
+    """Let a balancer leave for good."""
+    at(fleet, start + 1, lambda: fakes.stop_gracefully(fleet, 'b1'))
+
+
+def drain(fleet: Fleet, start: float) -> None:
+    """Drain a server; the table reaches the balancers unevenly."""
+    table = fakes.routing_table(
+        fleet, 2, Pool('werkstatt', drained=('werkstatt-1',))
+    )
+    at(fleet, start, lambda: install_unevenly(fleet, table))
+
+
+def reweight(fleet: Fleet, start: float) -> None:
+    """Narrow a pool, then widen it and change its weighting."""
+    narrow = fakes.routing_table(
+        fleet, 3, Pool('werkstatt', servers=('werkstatt-[1-5]',))
+    )
+    wide = fakes.routing_table(
+        fleet, 4, Pool('werkstatt', weighting=Weighting.BALANCE)
+    )
+    at(fleet, start + 0.5, lambda: install_unevenly(fleet, narrow))
+    at(fleet, start + 5, lambda: install_unevenly(fleet, wide))
+
+
+CHANGES = (restart_all, drain, join, leave, reweight)
+
+
+def run_planned(seed: int, *, naive: bool) -> list[Violation]:
+    """Make one or two planned changes under traffic."""
+    logic = PRODUCT
+    if naive:
+        logic = TABLE_EACH if seed % 2 else HASH_ALONE
+    scene = Scene(pick_faults(seed, CHANGES))
+    return find_broken(run_scene(seed, logic, scene), PROMISE)
+
+
+PROOFS = (
+    Proof(
+        'planned-change',
+        'flows survive restarts, joins, leaves, drains and edits',
+        run_planned,
+        ci_seeds=5,
+    ),
+)
