--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,8 +1,10 @@
 """The way of a packet: to its bucket's base, or through its flow's owner."""
 
+from mustardhold.systems.bindings import bound_service, settled_service
 from mustardhold.systems.freezing import is_stale
 from mustardhold.systems.handover import missing_members, store_record
 from mustardhold.systems.hashing import bucket_of
+from mustardhold.systems.health import note_backend_packet
 from mustardhold.systems.holding import (
     hold_early,
     hold_packet,
@@ -11,7 +13,7 @@
     release_held,
     take_told,
 )
-from mustardhold.systems.opening import open_flow
+from mustardhold.systems.opening import open_flow, open_settled
 from mustardhold.systems.ownership import (
     is_lease_live,
     owners_for,
@@ -19,7 +21,6 @@
 )
 from mustardhold.systems.records import end_flow
 from mustardhold.systems.requests import forward_request, note_answer
-from mustardhold.systems.routing import service_of
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import RELAY_HOPS
 from mustardhold.tables.flows import FlowRecord
@@ -86,7 +87,7 @@
 
 def settled_base(tables: BalancerTables, flow: bytes) -> str | None:
     """Find the server of a flow whose bucket is settled."""
-    service = service_of(tables, flow)
+    service = settled_service(tables, flow)
     placement = tables.placements.placements_by_pool.get(service or '')
     if placement is None:
         return None
@@ -108,7 +109,10 @@
     known = tables.backends_by_id.get(base or '')
     if known is None:
         return False
-    outbox.append(ToBackend(known.announced.address, packet))
+    if isinstance(packet, Open):
+        open_settled(tables, packet, known, outbox)
+    else:
+        outbox.append(ToBackend(known.announced.address, packet))
     return True
 
 
@@ -150,7 +154,7 @@
 
     Such a flow is at its bucket's base; without one, it is not known.
     """
-    service = service_of(tables, packet.flow)
+    service = bound_service(tables, packet.flow)
     placement = tables.placements.placements_by_pool.get(service or '')
     if service is None or placement is None:
         refuse_unowned(tables, packet, outbox)
@@ -281,6 +285,7 @@
     tables: BalancerTables, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Pass a server's packet to the caller that its flow key names."""
+    note_backend_packet(tables, packet)
     if isinstance(packet, Answer | Shed):
         note_answer(tables, packet)
     if isinstance(packet, Shed):
--- a/src/mustardhold/systems/coordination.py
+++ b/src/mustardhold/systems/coordination.py
@@ -141,6 +141,8 @@
     promise(council, claim.candidate_id)
     council.promised_until = now + GRANT_SECONDS
     is_newer = council.known_epoch > claim.epoch
+    has_newer = tables.placements.version > claim.placement_version
+    has_newer = has_newer and not claim.is_coordinator
     granted = Granted(
         claim.scope,
         tables.instance_id,
@@ -148,8 +150,8 @@
         claim.sent_at,
         council.known_epoch,
         council.known_members if is_newer else (),
-        tables.placements.version,
         council.previous_id,
+        tables.placements if has_newer else None,
     )
     outbox.append(ToPeer(claim.candidate_id, granted))
 
@@ -175,6 +177,9 @@
     if council.is_coordinator:
         return
     council.previous_ids.add(granted.previous_id)
+    placements = granted.placements
+    if placements and placements.version > tables.placements.version:
+        tables.placements = placements
     if now >= coordinator_until(council):
         return
     become_coordinator(tables, membership, council, now)
@@ -286,6 +291,7 @@
         council.known_epoch,
         council.known_members,
         council.is_coordinator,
+        tables.placements.version,
     )
     for voter in council.voters:
         if voter != tables.instance_id:
--- a/src/mustardhold/systems/handover.py
+++ b/src/mustardhold/systems/handover.py
@@ -84,7 +84,7 @@
     """List the members that may know a bucket's flow which we do not."""
     handover = tables.handover
     since = handover.owner_since_by_bucket.get(bucket, tables.view.epoch)
-    if since == 0:
+    if since == 0 or tables.membership is None:
         return set()
     missing = {
         name
--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -2,6 +2,9 @@
 
 import math
 
+import msgspec
+
+from mustardhold.systems.bindings import update_bindings
 from mustardhold.systems.coordination import (
     GRANT_SECONDS,
     LEASE_SECONDS,
@@ -82,12 +85,21 @@
     # Waiting for a view that names it keeps a member known, without a lease.
     held.until = max(held.until, now + LEASE_SECONDS + MARGIN_SECONDS)
     held.placement_version = renewal.placement_version
+    outrun_version(tables, renewal.placement_version)
     tables.reports_by_member[renewal.member_id] = renewal.reports
     shown = max(renewal.epoch, renewal.fence_epoch)
     council.epoch_floor = max(council.epoch_floor, shown)
     answer_renewal(tables, council, renewal, outbox)
 
 
+def outrun_version(tables: BalancerTables, version: int) -> None:
+    """Give our placements a higher version than an earlier coordinator's."""
+    if version > tables.placements.version:
+        tables.placements = msgspec.structs.replace(
+            tables.placements, version=version + 1
+        )
+
+
 def answer_renewal(
     tables: BalancerTables,
     council: Council,
@@ -157,9 +169,11 @@
     """Plan the next placements, as coordinator with a view."""
     if council.view is None or not is_coordinating(council, now):
         return
-    tables.placements = plan_placements(
-        tables, now, acknowledged_version(tables, council)
-    )
+    acknowledged = acknowledged_version(tables, council)
+    before = tables.placements
+    tables.placements = plan_placements(tables, now, acknowledged)
+    if tables.placements is before:
+        update_bindings(tables, acknowledged)
 
 
 def tick_leave(
--- a/src/mustardhold/systems/ownership.py
+++ b/src/mustardhold/systems/ownership.py
@@ -6,7 +6,11 @@
 
 def owners_for(tables: BalancerTables, flow: bytes) -> tuple[str, ...]:
     """Find the owners of a flow's bucket in the view in force."""
-    bucket = bucket_of(flow)
+    return owners_of_bucket(tables, bucket_of(flow))
+
+
+def owners_of_bucket(tables: BalancerTables, bucket: int) -> tuple[str, ...]:
+    """Find the owners of a bucket in the view in force."""
     owners = tables.owners_by_bucket.get(bucket)
     if owners is None:
         owners = owners_of(bucket, tables.view.members_by_id)
@@ -42,8 +46,3 @@
         for council in membership.councils:
             council.next_renewal_at = 0
     return True
-
-
-def is_ready(tables: BalancerTables, now: float) -> bool:
-    """Tell whether the fabric may hand packets to this balancer."""
-    return not tables.stopping and is_lease_live(tables, now)
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -6,15 +6,17 @@
     take_answer,
     take_relay,
 )
-from mustardhold.systems.announcements import (
-    expire_backends,
-    take_announcement,
-)
+from mustardhold.systems.announcements import take_announcement
 from mustardhold.systems.coordination import (
     take_claim,
     take_granted,
     tick_claims,
 )
+from mustardhold.systems.digests import (
+    answer_asked,
+    take_digest,
+    tick_backends,
+)
 from mustardhold.systems.freezing import is_stale, note_activity
 from mustardhold.systems.holding import ask_again, expire_early, take_ask
 from mustardhold.systems.leases import (
@@ -39,6 +41,8 @@
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.peers import (
     AskRecord,
+    BackendDigest,
+    BackendsAsked,
     BackendShared,
     Claim,
     CouncilMessage,
@@ -72,14 +76,30 @@
             take_chain(tables, now, message, outbox)
         case FlowClosed(flow=flow):
             forget_flow(tables, flow)
-        case BackendShared(backend=backend):
-            take_announcement(tables, now, backend)
+        case BackendShared() | BackendDigest() | BackendsAsked():
+            take_backend_message(tables, now, message, outbox)
         case Claim() | Granted() | Renewal() | Lease() | NewView() | Leave():
             take_council_message(tables, now, message, outbox)
         case _:
             take_handover_message(tables, now, message, outbox)
 
 
+def take_backend_message(
+    tables: BalancerTables,
+    now: float,
+    message: BackendShared | BackendDigest | BackendsAsked,
+    outbox: Outbox,
+) -> None:
+    """Act on a message about backend servers."""
+    match message:
+        case BackendShared(backend=backend):
+            take_announcement(tables, now, backend)
+        case BackendDigest():
+            take_digest(tables, now, message, outbox)
+        case BackendsAsked():
+            answer_asked(tables, message, outbox)
+
+
 def take_handover_message(
     tables: BalancerTables,
     now: float,
@@ -138,7 +158,7 @@
     """Do the work that time asks for."""
     note_activity(tables, now)
     expire_requests(tables, now)
-    expire_backends(tables, now)
+    tick_backends(tables, now, outbox)
     tick_membership(tables, now, outbox)
     tick_transfers(tables, now, outbox)
     ask_again(tables, now, outbox)
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from mustardhold.tables.backends import BackendServer
+from mustardhold.tables.backends import BackendRow, BackendServer
 from mustardhold.tables.packets import FlowKey, Packet
 from mustardhold.tables.placement import BucketReport, PlacementSet
 from mustardhold.tables.views import ViewMember
@@ -69,6 +69,8 @@
         Newest view that the candidate knows or proposes.
     is_coordinator
         Whether the candidate holds the lease already.
+    placement_version
+        Version of the placements that the candidate has.
     """
 
     scope: str
@@ -78,6 +80,7 @@
     epoch: int
     members: tuple[ViewMember, ...]
     is_coordinator: bool
+    placement_version: int
 
 
 class Granted(msgspec.Struct, array_like=True, tag=41, frozen=True):
@@ -89,6 +92,8 @@
         Newest view that the voter knows; no members if the claim named it.
     previous_id
         Candidate that the voter had promised the lease before.
+    placements
+        Set if the candidate is about to be elected with older ones.
     """
 
     scope: str
@@ -97,8 +102,8 @@
     sent_at: float
     epoch: int
     members: tuple[ViewMember, ...]
-    placement_version: int
     previous_id: str
+    placements: PlacementSet | None
 
 
 class Renewal(msgspec.Struct, array_like=True, tag=42, frozen=True):
@@ -221,6 +226,29 @@
 HandoverMessage = (
     AskRecord | TellRecord | RecordPage | PageTaken | HandoverComplete
 )
+
+
+class BackendDigest(msgspec.Struct, array_like=True, tag=60, frozen=True):
+    """What a balancer lately heard of backend servers, and holds on them.
+
+    Attributes
+    ----------
+    held_by_id
+        Flows that the sender holds as primary owner, by server.
+    """
+
+    sender_id: str
+    rows: tuple[BackendRow, ...]
+    held_by_id: dict[str, int]
+
+
+class BackendsAsked(msgspec.Struct, array_like=True, tag=61, frozen=True):
+    """Asks for the whole announcements of servers."""
+
+    sender_id: str
+    backend_ids: tuple[str, ...]
+
+
 PeerMessage = (
     Relay
     | RecordChain
@@ -228,4 +256,6 @@
     | BackendShared
     | CouncilMessage
     | HandoverMessage
+    | BackendDigest
+    | BackendsAsked
 )
--- a/src/mustardhold/tables/placement.py
+++ b/src/mustardhold/tables/placement.py
@@ -28,6 +28,25 @@
     opened_elsewhere: frozenset[int]
 
 
+class Bindings(msgspec.Struct, frozen=True):
+    """Which service holds the unrecorded flows of each address.
+
+    Attributes
+    ----------
+    service_by_address
+        Service by the last six bytes of a flow key; never changed.
+    moved
+        Addresses that a route gave to another service: their packets go
+        through the owners of their bucket.
+    freed
+        Moved addresses whose new flows belong to the service of the route.
+    """
+
+    service_by_address: dict[bytes, str] = {}
+    moved: frozenset[bytes] = frozenset()
+    freed: frozenset[bytes] = frozenset()
+
+
 class PlacementSet(msgspec.Struct, frozen=True):
     """One version of the placements of all pools.
 
@@ -36,6 +55,7 @@
 
     version: int = 0
     placements_by_pool: dict[str, Placement] = {}
+    bindings: Bindings = Bindings()
 
 
 class BucketReport(msgspec.Struct, frozen=True):
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,12 +1,12 @@
 """Starts and ends processes of the product and of the stand-ins."""
 
+import os
 import signal
 import socket
 import subprocess
 import sys
 import time
 from dataclasses import dataclass, field
-from http import HTTPStatus
 from pathlib import Path
 
 import httpx
@@ -15,6 +15,8 @@
 LOOPBACK = '127.0.0.1'
 READY_SECONDS = 15
 STOP_SECONDS = 15
+ROOT = Path(__file__).parent.parent
+PYTHON_PATH = os.pathsep.join((str(ROOT / 'src'), str(ROOT)))
 POLL_SECONDS = 0.05
 
 
@@ -49,6 +51,7 @@
             stdout=subprocess.PIPE,
             stderr=log,
             text=True,
+            env={**os.environ, 'PYTHONPATH': PYTHON_PATH},
         )
 
 
@@ -63,7 +66,7 @@
 
 
 def wait_ready(http_address: str) -> None:
-    """Wait until a process answers over HTTP that it is ready.
+    """Wait until a process answers over HTTP, and a balancer has a lease.
 
     Raises
     ------
@@ -73,11 +76,12 @@
     deadline = time.monotonic() + READY_SECONDS
     while time.monotonic() < deadline:
         try:
-            reply = httpx.get(f'http://{http_address}/ready', timeout=1)
+            reply = httpx.get(f'http://{http_address}/status', timeout=1)
         except httpx.HTTPError:
             time.sleep(POLL_SECONDS)
             continue
-        if reply.status_code != HTTPStatus.SERVICE_UNAVAILABLE:
+        # A balancer answers how long it may act; a control replica does not.
+        if reply.json().get('lease_left', 1) != 0:
             return
         time.sleep(POLL_SECONDS)
     raise TimeoutError(f'{http_address} does not answer')
