--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,42 +1,36 @@
 """The way of a packet: to its bucket's base, or through its flow's owner."""
 
-from mustardhold.systems.bindings import bound_service, settled_service
+from mustardhold.systems.answers import take_answer, take_shed
 from mustardhold.systems.freezing import is_stale
-from mustardhold.systems.handover import missing_members, store_record
-from mustardhold.systems.hashing import bucket_of
 from mustardhold.systems.health import note_backend_packet
 from mustardhold.systems.holding import (
+    expired_early,
     hold_early,
-    hold_packet,
-    overdue_flows,
     release_early,
-    release_held,
-    take_told,
 )
-from mustardhold.systems.opening import open_flow, open_settled
+from mustardhold.systems.opening import open_settled
+from mustardhold.systems.owner_decisions import decide_as_owner, settled_base
 from mustardhold.systems.ownership import (
     is_lease_live,
     owners_for,
     raise_fence,
 )
 from mustardhold.systems.records import end_flow
-from mustardhold.systems.requests import forward_request, note_answer
+from mustardhold.systems.requests import answer_without_lease
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import RELAY_HOPS
-from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
 from mustardhold.tables.packets import (
     Answer,
     BackendPacket,
     CallerPacket,
-    Close,
+    Cancel,
     FlowEnded,
-    NotRun,
     Open,
     Request,
     Shed,
 )
-from mustardhold.tables.peers import Relay, TellRecord
+from mustardhold.tables.peers import Relay
 
 
 def take_caller_packet(
@@ -59,7 +53,7 @@
         elif awaits_view(tables, now):
             hold_early(tables, now, packet, hops)
         else:
-            tables.counters['', 'lease-expired'] += 1
+            refuse_without_lease(tables, packet, outbox)
     elif hops < RELAY_HOPS:
         relay = Relay(tables.instance_id, tables.view.epoch, hops + 1, packet)
         outbox.append(ToPeer(owners[0], relay))
@@ -72,6 +66,15 @@
     return tables.stopping or now < tables.lease_until
 
 
+def refuse_without_lease(
+    tables: BalancerTables, packet: CallerPacket, outbox: Outbox
+) -> None:
+    """Drop a packet that needs a lease; tell what becomes of a request."""
+    tables.counters['', 'lease-expired'] += 1
+    if isinstance(packet, Request):
+        answer_without_lease(tables, packet, outbox)
+
+
 def take_relay(
     tables: BalancerTables, now: float, relay: Relay, outbox: Outbox
 ) -> None:
@@ -85,25 +88,13 @@
     take_caller_packet(tables, now, packet, outbox, relay.hops)
 
 
-def settled_base(tables: BalancerTables, flow: bytes) -> str | None:
-    """Find the server of a flow whose bucket is settled."""
-    service = settled_service(tables, flow)
-    placement = tables.placements.placements_by_pool.get(service or '')
-    if placement is None:
-        return None
-    bucket = bucket_of(flow)
-    if bucket in placement.moving:
-        return None
-    return placement.bases[bucket]
-
-
 def forward_settled(
     tables: BalancerTables, now: float, packet: CallerPacket, outbox: Outbox
 ) -> bool:
     """Forward a packet of a settled bucket; requests go by their owner."""
     if not tables.placements.placements_by_pool:
         return False
-    if isinstance(packet, Request) or not is_lease_live(tables, now):
+    if isinstance(packet, Request | Cancel) or not is_lease_live(tables, now):
         return False
     base = settled_base(tables, packet.flow)
     known = tables.backends_by_id.get(base or '')
@@ -116,169 +107,16 @@
     return True
 
 
-def decide_as_owner(
-    tables: BalancerTables,
-    now: float,
-    packet: CallerPacket,
-    owners: tuple[str, ...],
-    outbox: Outbox,
-) -> None:
-    """Decide on a caller's packet as primary owner of its bucket.
-
-    A packet without a record may have overtaken its flow's opening.
-    """
-    record = tables.flows_by_key.get(packet.flow)
-    if record:
-        forward_recorded(tables, now, packet, record, outbox)
-        return
-    if settled_base(tables, packet.flow):
-        use_base(tables, now, packet, outbox)
-        return
-    missing = missing_members(tables, bucket_of(packet.flow))
-    if missing:
-        hold_packet(tables, now, packet, missing, outbox)
-    elif isinstance(packet, Open):
-        open_flow(tables, packet, None, owners, outbox)
-        forward_held(tables, now, packet.flow, outbox)
-    else:
-        hold_packet(tables, now, packet, set(), outbox)
-
-
-def use_base(
-    tables: BalancerTables,
-    now: float,
-    packet: CallerPacket,
-    outbox: Outbox,
-) -> None:
-    """Forward a packet of a flow that no member has a record of.
-
-    Such a flow is at its bucket's base; without one, it is not known.
-    """
-    service = bound_service(tables, packet.flow)
-    placement = tables.placements.placements_by_pool.get(service or '')
-    if service is None or placement is None:
-        refuse_unowned(tables, packet, outbox)
-        return
-    bucket = bucket_of(packet.flow)
-    record = FlowRecord(service, placement.bases[bucket], is_primary=True)
-    if bucket in placement.moving:
-        store_record(tables, packet.flow, service, record.backend_id)
-    forward_recorded(tables, now, packet, record, outbox)
-
-
-def forward_recorded(
-    tables: BalancerTables,
-    now: float,
-    packet: CallerPacket,
-    record: FlowRecord,
-    outbox: Outbox,
-) -> None:
-    """Forward a packet to the server that holds its flow."""
-    if isinstance(packet, Open):
-        owners = owners_for(tables, packet.flow)
-        open_flow(tables, packet, record, owners, outbox)
-        return
-    known = tables.backends_by_id.get(record.backend_id)
-    if known is None:
-        refuse_unreachable(tables, packet, outbox)
-        return
-    if isinstance(packet, Request):
-        forward_request(tables, now, packet, known, outbox)
-        return
-    outbox.append(ToBackend(known.announced.address, packet))
-    if isinstance(packet, Close):
-        end_flow(tables, packet.flow, outbox)
-
-
-def forward_held(
-    tables: BalancerTables, now: float, flow: bytes, outbox: Outbox
-) -> None:
-    """Forward what waited for a flow, its opening first."""
-    packets = release_held(tables, flow)
-    packets.sort(key=lambda packet: not isinstance(packet, Open))
-    owners = owners_for(tables, flow)
-    for packet in packets:
-        record = tables.flows_by_key.get(flow)
-        if record:
-            forward_recorded(tables, now, packet, record, outbox)
-        elif isinstance(packet, Open):
-            open_flow(tables, packet, None, owners, outbox)
-        else:
-            refuse_unowned(tables, packet, outbox)
-
-
-def take_answer(
-    tables: BalancerTables, now: float, told: TellRecord, outbox: Outbox
-) -> None:
-    """Decide on held packets once it is settled where their flow is."""
-    if not is_lease_live(tables, now) or not take_told(tables, told):
-        return
-    if told.flow in tables.flows_by_key:
-        forward_held(tables, now, told.flow, outbox)
-        return
-    packets = release_held(tables, told.flow)
-    packets.sort(key=lambda packet: not isinstance(packet, Open))
-    for packet in packets:
-        decide_unknown(tables, now, packet, outbox)
-
-
-def decide_unknown(
-    tables: BalancerTables,
-    now: float,
-    packet: CallerPacket,
-    outbox: Outbox,
-) -> None:
-    """Decide on a packet after every member has said what it knows."""
-    record = tables.flows_by_key.get(packet.flow)
-    if record:
-        forward_recorded(tables, now, packet, record, outbox)
-    elif isinstance(packet, Open):
-        owners = owners_for(tables, packet.flow)
-        open_flow(tables, packet, None, owners, outbox)
-    else:
-        use_base(tables, now, packet, outbox)
-
-
 def retake_packets(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Decide again on held packets, after a change of the view."""
     for one in release_early(tables, now):
         take_caller_packet(tables, now, one.packet, outbox, one.hops)
 
 
-def decide_overdue(tables: BalancerTables, now: float, outbox: Outbox) -> None:
-    """Decide on packets whose opening has not come."""
-    for flow in overdue_flows(tables, now):
-        packets = release_held(tables, flow)
-        if is_lease_live(tables, now):
-            for packet in packets:
-                decide_unknown(tables, now, packet, outbox)
-
-
-def refuse_unreachable(
-    tables: BalancerTables, packet: CallerPacket, outbox: Outbox
-) -> None:
-    """Answer a packet whose server has not been heard of here.
-
-    The flow may well live, so nothing but a request is answered.
-    """
-    tables.counters['', 'server-unknown'] += 1
-    if isinstance(packet, Request):
-        outbox.append(
-            ToCaller(NotRun(packet.flow, packet.request_id, 'no-server'))
-        )
-
-
-def refuse_unowned(
-    tables: BalancerTables, packet: CallerPacket, outbox: Outbox
-) -> None:
-    """Answer a packet whose flow has no record; it was not forwarded."""
-    tables.counters['', 'no-record'] += 1
-    if isinstance(packet, Request):
-        outbox.append(
-            ToCaller(NotRun(packet.flow, packet.request_id, 'no-flow'))
-        )
-    else:
-        outbox.append(ToCaller(FlowEnded(packet.flow)))
+def drop_early(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Give up packets for which no newer view came in time."""
+    for packet in expired_early(tables, now):
+        refuse_without_lease(tables, packet, outbox)
 
 
 def take_backend_packet(
@@ -286,10 +124,11 @@
 ) -> None:
     """Pass a server's packet to the caller that its flow key names."""
     note_backend_packet(tables, packet)
-    if isinstance(packet, Answer | Shed):
-        note_answer(tables, packet)
+    if isinstance(packet, Answer):
+        take_answer(tables, packet, outbox)
+        return
     if isinstance(packet, Shed):
-        outbox.append(ToCaller(NotRun(packet.flow, packet.request_id, 'shed')))
+        take_shed(tables, packet, outbox)
         return
     if isinstance(packet, FlowEnded):
         end_flow(tables, packet.flow, outbox)
--- a/src/mustardhold/systems/coordination.py
+++ b/src/mustardhold/systems/coordination.py
@@ -197,6 +197,7 @@
     such a lease has run out. The predecessor's own lease ended with its grants.
     """
     council.is_coordinator = True
+    council.elected_at = now
     council.next_claim_at = now
     council.view = None
     tables.counters['', 'coordinator-elected'] += 1
--- a/src/mustardhold/systems/holding.py
+++ b/src/mustardhold/systems/holding.py
@@ -109,12 +109,14 @@
     return early
 
 
-def expire_early(tables: BalancerTables, now: float) -> None:
-    """Drop packets for which no newer view came in time."""
+def expired_early(tables: BalancerTables, now: float) -> list[CallerPacket]:
+    """Take out the packets for which no newer view came in time."""
     early = tables.handover.early
+    expired = []
     while early and now >= early[0].deadline:
-        early.popleft()
+        expired.append(early.popleft().packet)
         tables.counters['', 'early-expired'] += 1
+    return expired
 
 
 def take_ask(
--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -21,11 +21,14 @@
 from mustardhold.systems.placement import plan_placements, report_buckets
 from mustardhold.systems.views import install_view
 from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import FOUNDING_WAIT
 from mustardhold.tables.coordination import Council, MemberLease, Membership
 from mustardhold.tables.outbox import Outbox, ToPeer
 from mustardhold.tables.peers import Lease, Leave, NewView, Renewal
 from mustardhold.tables.views import ViewMember
 
+FOUNDING_SECONDS = FOUNDING_WAIT.total_seconds()
+
 
 def tick_renewal(
     tables: BalancerTables, council: Council, now: float, outbox: Outbox
@@ -62,7 +65,7 @@
         if not lease.members:
             return
         view = make_view(membership, lease.epoch, lease.members)
-        install_view(tables, now, view)
+        install_view(tables, view)
     if lease.placements is not None:
         tables.placements = lease.placements
     tables.lease_until = max(tables.lease_until, lease.sent_at + LEASE_SECONDS)
@@ -146,7 +149,7 @@
         return
     view = make_view(membership, message.epoch, message.members)
     council = council_of(tables, message.scope)
-    if install_view(tables, now, view) and council is not None:
+    if install_view(tables, view) and council is not None:
         council.next_renewal_at = now
 
 
@@ -249,6 +252,8 @@
     if council.proposed is not None:
         return
     wanted = wanted_members(tables, membership, council)
+    if is_founding(council, now) and len(wanted) < len(council.voters):
+        return
     epoch = council.view.epoch if council.view else 0
     current = members_of(council.view) if council.view else ()
     if wanted == current and council.epoch_floor <= epoch:
@@ -261,6 +266,13 @@
     council.next_claim_at = now
 
 
+def is_founding(council: Council, now: float) -> bool:
+    """Tell whether to wait for more members before a group's first view."""
+    if council.known_epoch or council.epoch_floor:
+        return False
+    return now < council.elected_at + FOUNDING_SECONDS
+
+
 def wanted_members(
     tables: BalancerTables, membership: Membership, council: Council
 ) -> tuple[ViewMember, ...]:
@@ -281,7 +293,7 @@
     view = council.view
     if view is None or view.epoch < tables.view.epoch:
         return
-    install_view(tables, now, view)
+    install_view(tables, view)
     if tables.stopping or tables.instance_id not in view.members_by_id:
         return
     end = min(coordinator_until(council), now + LEASE_SECONDS)
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -1,9 +1,8 @@
 """Messages from other balancers, and the work of each tick."""
 
 from mustardhold.systems.affinity import (
-    decide_overdue,
+    drop_early,
     retake_packets,
-    take_answer,
     take_relay,
 )
 from mustardhold.systems.announcements import take_announcement
@@ -12,13 +11,14 @@
     take_granted,
     tick_claims,
 )
+from mustardhold.systems.deadlines import run_request_timers
 from mustardhold.systems.digests import (
     answer_asked,
     take_digest,
     tick_backends,
 )
 from mustardhold.systems.freezing import is_stale, note_activity
-from mustardhold.systems.holding import ask_again, expire_early, take_ask
+from mustardhold.systems.holding import ask_again, take_ask
 from mustardhold.systems.leases import (
     advance_view,
     take_lease,
@@ -29,8 +29,9 @@
     tick_placements,
     tick_renewal,
 )
+from mustardhold.systems.owner_decisions import decide_overdue, resolve_held
 from mustardhold.systems.records import forget_flow, take_chain
-from mustardhold.systems.requests import expire_requests
+from mustardhold.systems.request_messages import take_request_message
 from mustardhold.systems.transfers import (
     take_complete,
     take_page,
@@ -51,8 +52,8 @@
     HandoverComplete,
     HandoverMessage,
     Lease,
-    Leave,
     NewView,
+    OwnerMessage,
     PageTaken,
     PeerMessage,
     RecordChain,
@@ -69,35 +70,36 @@
     """Act on a message from another balancer."""
     if is_stale(tables, now):
         return
-    match message:
-        case Relay():
-            take_relay(tables, now, message, outbox)
-        case RecordChain():
-            take_chain(tables, now, message, outbox)
-        case FlowClosed(flow=flow):
-            forget_flow(tables, flow)
-        case BackendShared() | BackendDigest() | BackendsAsked():
-            take_backend_message(tables, now, message, outbox)
-        case Claim() | Granted() | Renewal() | Lease() | NewView() | Leave():
-            take_council_message(tables, now, message, outbox)
-        case _:
-            take_handover_message(tables, now, message, outbox)
+    if isinstance(message, Relay):
+        take_relay(tables, now, message, outbox)
+    elif isinstance(message, CouncilMessage):
+        take_council_message(tables, now, message, outbox)
+    elif isinstance(message, HandoverMessage):
+        take_handover_message(tables, now, message, outbox)
+    else:
+        take_owner_message(tables, now, message, outbox)
 
 
-def take_backend_message(
+def take_owner_message(
     tables: BalancerTables,
     now: float,
-    message: BackendShared | BackendDigest | BackendsAsked,
+    message: OwnerMessage,
     outbox: Outbox,
 ) -> None:
-    """Act on a message about backend servers."""
+    """Act on a message about flows, requests or backend servers."""
     match message:
+        case RecordChain():
+            take_chain(tables, now, message, outbox)
+        case FlowClosed(flow=flow):
+            forget_flow(tables, flow)
         case BackendShared(backend=backend):
             take_announcement(tables, now, backend)
         case BackendDigest():
             take_digest(tables, now, message, outbox)
         case BackendsAsked():
             answer_asked(tables, message, outbox)
+        case _:
+            take_request_message(tables, now, message, outbox)
 
 
 def take_handover_message(
@@ -111,7 +113,7 @@
         case AskRecord():
             take_ask(tables, now, message, outbox)
         case TellRecord():
-            take_answer(tables, now, message, outbox)
+            resolve_held(tables, now, message, outbox)
         case RecordPage():
             take_page(tables, message, outbox)
         case PageTaken():
@@ -157,13 +159,13 @@
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Do the work that time asks for."""
     note_activity(tables, now)
-    expire_requests(tables, now)
+    run_request_timers(tables, now, outbox)
     tick_backends(tables, now, outbox)
     tick_membership(tables, now, outbox)
     tick_transfers(tables, now, outbox)
     ask_again(tables, now, outbox)
     decide_overdue(tables, now, outbox)
-    expire_early(tables, now)
+    drop_early(tables, now, outbox)
 
 
 def tick_membership(tables: BalancerTables, now: float, outbox: Outbox) -> None:
--- a/src/mustardhold/systems/views.py
+++ b/src/mustardhold/systems/views.py
@@ -7,7 +7,7 @@
 from mustardhold.tables.views import View
 
 
-def install_view(tables: BalancerTables, now: float, view: View) -> bool:
+def install_view(tables: BalancerTables, view: View) -> bool:
     """Put a newer view in force; an older one changes nothing.
 
     Returns
@@ -23,17 +23,6 @@
         bucket: owners_of(bucket, view.members_by_id)
         for bucket in range(BUCKETS_PER_POOL)
     }
-    note_primaries(tables, now)
     tables.counters['', 'view-installed'] += 1
     start_handover(tables, before)
     return True
-
-
-def note_primaries(tables: BalancerTables, now: float) -> None:
-    """Keep since when this balancer is the primary owner of each bucket."""
-    since = tables.primary_since_by_bucket
-    tables.primary_since_by_bucket = {
-        bucket: since.get(bucket, now)
-        for bucket, owners in tables.owners_by_bucket.items()
-        if owners and owners[0] == tables.instance_id
-    }
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -6,9 +6,10 @@
 
 from mustardhold.tables.backends import KnownBackend
 from mustardhold.tables.coordination import Membership
-from mustardhold.tables.flows import FlowRecord, RequestRecord
+from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.handover import Handover
 from mustardhold.tables.placement import BucketReport, PlacementSet
+from mustardhold.tables.requests import RequestTables
 from mustardhold.tables.routing import RoutingTable, empty_table
 from mustardhold.tables.views import View
 
@@ -36,9 +37,6 @@
         balancer may act as an owner.
     membership
         Part in the agreement on the view; none where the view is fixed.
-    primary_since_by_bucket
-        Reading of the local monotonic clock, in seconds, since which this
-        balancer is the primary owner of a bucket.
     """
 
     instance_id: str
@@ -48,7 +46,7 @@
     service_by_address: dict[bytes, str] = field(default_factory=dict)
     backends_by_id: dict[str, KnownBackend] = field(default_factory=dict)
     flows_by_key: dict[bytes, FlowRecord] = field(default_factory=dict)
-    requests_by_id: dict[bytes, RequestRecord] = field(default_factory=dict)
+    requests: RequestTables = field(default_factory=RequestTables)
     owners_by_bucket: dict[int, tuple[str, ...]] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
     placements: PlacementSet = field(default_factory=PlacementSet)
@@ -61,5 +59,4 @@
     lease_until: float = math.inf
     membership: Membership | None = None
     handover: Handover = field(default_factory=Handover)
-    primary_since_by_bucket: dict[int, float] = field(default_factory=dict)
     stopping: bool = False
--- a/src/mustardhold/tables/coordination.py
+++ b/src/mustardhold/tables/coordination.py
@@ -47,6 +47,8 @@
         When the latest claim that each other voter granted was sent.
     previous_ids
         What the voters of the own campaign had promised before.
+    elected_at
+        When this balancer last became coordinator.
     proposed_at
         When ``proposed`` was put into a claim for the first time.
     view
@@ -70,6 +72,7 @@
     granted_at_by_id: dict[str, float] = field(default_factory=dict)
     previous_ids: set[str] = field(default_factory=set)
     is_coordinator: bool = False
+    elected_at: float = -math.inf
     proposed: View | None = None
     proposed_at: float = -math.inf
     view: View | None = None
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -5,6 +5,7 @@
 from mustardhold.tables.backends import BackendRow, BackendServer
 from mustardhold.tables.packets import FlowKey, Packet
 from mustardhold.tables.placement import BucketReport, PlacementSet
+from mustardhold.tables.request_messages import RequestMessage
 from mustardhold.tables.views import ViewMember
 
 
@@ -249,13 +250,12 @@
     backend_ids: tuple[str, ...]
 
 
-PeerMessage = (
-    Relay
-    | RecordChain
+OwnerMessage = (
+    RecordChain
     | FlowClosed
     | BackendShared
-    | CouncilMessage
-    | HandoverMessage
     | BackendDigest
     | BackendsAsked
+    | RequestMessage
 )
+PeerMessage = Relay | OwnerMessage | CouncilMessage | HandoverMessage
