--- /dev/null
+++ b/src/mustardhold/systems/consensus.py
@@ -0,0 +1,199 @@
+"""Steps of a control replica: messages, time and proposed edits."""
+
+from collections.abc import Callable
+
+from mustardhold.systems.edits import copy_state, find_lasting_faults
+from mustardhold.systems.edits import first_outcome
+from mustardhold.systems.election import (
+    check_quorum,
+    has_lease,
+    put_off_election,
+    start_trial,
+    take_vote_reply,
+    take_vote_request,
+)
+from mustardhold.systems.replica_log import (
+    append_command,
+    compact,
+    entry_at,
+    find_members,
+    last_entry,
+)
+from mustardhold.systems.replica_membership import (
+    introduce,
+    promote_learners,
+    take_hello,
+)
+from mustardhold.systems.replication import (
+    broadcast,
+    commit_majority,
+    take_append,
+    take_append_reply,
+    take_snapshot,
+)
+from mustardhold.tables.consensus import (
+    AppendReply,
+    AppendRequest,
+    EditCommand,
+    Effects,
+    Hello,
+    LogEntry,
+    Members,
+    NoOp,
+    NotLeader,
+    Pending,
+    Replica,
+    ReplicaMember,
+    ReplicaMessage,
+    Role,
+    Snapshot,
+    SnapshotRequest,
+    Vote,
+    VoteReply,
+    VoteRequest,
+)
+from mustardhold.tables.constants import MAX_PENDING_ENTRIES
+from mustardhold.tables.edits import EditState
+from mustardhold.tables.routing import (
+    Edit,
+    EditOutcome,
+    NoQuorum,
+    Overloaded,
+    Refused,
+    RepeatedEdit,
+)
+
+Proposed = EditOutcome | RepeatedEdit | Pending | NotLeader
+
+
+def empty_snapshot() -> Snapshot:
+    """Make the state before the first entry."""
+    return Snapshot(0, 0, (), EditState())
+
+
+def empty_log() -> list[LogEntry]:
+    """Make a log before its first entry."""
+    return [LogEntry(0, 0, NoOp())]
+
+
+def make_replica(
+    me: ReplicaMember,
+    peers: Members,
+    random: Callable[[], float],
+    now: float,
+) -> Replica:
+    """Make a replica with an empty folder.
+
+    It counts as having heard a leader just now: an answer that it gave
+    before a restart may still extend a leader's lease.
+    """
+    replica = Replica(
+        me,
+        peers,
+        random,
+        Vote(),
+        empty_snapshot(),
+        empty_log(),
+        EditState(),
+        commit_index=0,
+        members=(),
+        members_index=0,
+        leader_heard_at=now,
+        election_at=now,
+    )
+    put_off_election(replica, now)
+    return replica
+
+
+def restore_replica(
+    replica: Replica, vote: Vote, snapshot: Snapshot, log: list[LogEntry]
+) -> None:
+    """Give a replica what its folder holds."""
+    replica.vote = vote
+    replica.snapshot = snapshot
+    replica.log = log
+    replica.edits = copy_state(snapshot.edits)
+    replica.commit_index = snapshot.index
+    find_members(replica)
+
+
+def step(
+    replica: Replica, now: float, message: ReplicaMessage
+) -> Effects:
+    """Act on a message of another replica."""
+    effects = Effects()
+    match message:
+        case VoteRequest():
+            take_vote_request(replica, now, message, effects)
+        case VoteReply():
+            take_vote_reply(replica, now, message, effects)
+        case AppendRequest():
+            take_append(replica, now, message, effects)
+        case AppendReply():
+            take_append_reply(replica, now, message, effects)
+        case SnapshotRequest():
+            take_snapshot(replica, now, message, effects)
+        case Hello():
+            take_hello(replica, now, message, effects)
+    compact(replica, effects)
+    return effects
+
+
+def tick(replica: Replica, now: float) -> Effects:
+    """Act on the time: heartbeats, elections and changes of the members."""
+    effects = Effects()
+    introduce(replica, now, effects)
+    if replica.role is not Role.LEADER and now >= replica.election_at:
+        start_trial(replica, now, effects)
+    if replica.role is Role.LEADER:
+        lead_on(replica, now, effects)
+    compact(replica, effects)
+    return effects
+
+
+def lead_on(replica: Replica, now: float, effects: Effects) -> None:
+    """Do what a leader does as time passes."""
+    check_quorum(replica, now)
+    if replica.role is not Role.LEADER:
+        return
+    commit_majority(replica, effects)
+    promote_learners(replica, now, effects)
+    if now >= replica.heartbeat_at:
+        broadcast(replica, now, effects)
+
+
+def has_opened_term(replica: Replica) -> bool:
+    """Tell whether a leader has committed an entry of its own term."""
+    entry = entry_at(replica, replica.commit_index)
+    return entry is not None and entry.term == replica.vote.term
+
+
+def propose_edit(
+    replica: Replica, now: float, edit: Edit, taken_at: float
+) -> tuple[Proposed, Effects]:
+    """Take an edit as the leader.
+
+    Returns
+    -------
+    Proposed, Effects
+        The outcome where it is certain at once, else where the edit waits.
+    """
+    effects = Effects()
+    if replica.role is not Role.LEADER:
+        return NotLeader(replica.leader), effects
+    repeated = first_outcome(replica.edits, edit.edit_id)
+    if repeated is not None and has_opened_term(replica):
+        return repeated, effects
+    findings = tuple(find_lasting_faults(edit))
+    if findings:
+        return Refused(findings), effects
+    if not has_lease(replica, now) or not has_opened_term(replica):
+        return NoQuorum(None), effects
+    if last_entry(replica).index - replica.commit_index >= MAX_PENDING_ENTRIES:
+        return Overloaded(), effects
+    command = EditCommand(edit, replica.me.instance_id, taken_at)
+    entry = append_command(replica, command, effects)
+    commit_majority(replica, effects)
+    broadcast(replica, now, effects)
+    compact(replica, effects)
+    return Pending(entry.index, entry.term), effects
--- a/src/mustardhold/systems/edits.py
+++ b/src/mustardhold/systems/edits.py
@@ -1,11 +1,11 @@
 """Edits of the two tables: checked, ordered, each applied once."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from typing import TypeVar
 
-from mustardhold.systems.addresses import pack_address
-from mustardhold.tables.constants import MAX_TABLE_ENTRIES
+from mustardhold.systems.addresses import pack_address, unpack_address
+from mustardhold.tables.constants import MAX_EDIT_RECORDS, MAX_TABLE_ENTRIES
+from mustardhold.tables.edits import EditOrigin, EditRecord, EditState
 from mustardhold.tables.routing import (
     Accepted,
     Conflict,
@@ -18,28 +18,18 @@
     RepeatedEdit,
     Route,
     RoutingTable,
-    empty_table,
 )
 
 Entry = TypeVar('Entry', Route, Pool)
 
 
-@dataclass(slots=True)
-class EditState:
-    """The tables, and the outcome of each edit id."""
-
-    table: RoutingTable = field(default_factory=empty_table)
-    outcomes_by_edit_id: dict[str, EditOutcome] = field(default_factory=dict)
-    last_edit_by_entry: dict[str, str] = field(default_factory=dict)
-
-
 def entry_key(edit: Edit) -> str:
     """Name the entry that an edit changes."""
     return f'{edit.kind}/{edit.name}'
 
 
-def find_faults(state: EditState, edit: Edit) -> Iterator[Finding]:
-    """Yield everything that is wrong with an edit."""
+def find_lasting_faults(edit: Edit) -> Iterator[Finding]:
+    """Yield what is wrong with an edit whatever the tables hold."""
     if not edit.edit_id:
         yield Finding('edit_id', 'must not be empty')
     if not edit.name:
@@ -50,30 +40,45 @@
         yield Finding(edit.kind, 'holds an entry of the other kind')
     if entry is not None and entry.name != edit.name:
         yield Finding(f'{edit.kind}.name', f'differs from {edit.name!r}')
-    if len(state.table.entry_versions) >= MAX_TABLE_ENTRIES:
+    addresses = edit.route.addresses if edit.route else ()
+    for index, address in enumerate(addresses):
+        try:
+            host, port = unpack_address(pack_address(address))
+        except ValueError as error:
+            yield Finding(f'route.addresses[{index}]', str(error))
+            continue
+        if address != f'{host}:{port}':
+            yield Finding(
+                f'route.addresses[{index}]', f'is written as {host}:{port}'
+            )
+
+
+def find_faults(state: EditState, edit: Edit) -> Iterator[Finding]:
+    """Yield everything that is wrong with an edit."""
+    yield from find_lasting_faults(edit)
+    versions = state.table.entry_versions
+    if entry_key(edit) not in versions and len(versions) >= MAX_TABLE_ENTRIES:
         yield Finding(edit.kind, 'the table is full')
     if edit.route is not None:
-        yield from find_address_faults(state.table, edit)
+        yield from find_taken_addresses(state.table, edit.route)
 
 
-def find_address_faults(table: RoutingTable, edit: Edit) -> Iterator[Finding]:
-    """Yield addresses of a route that are malformed or taken."""
+def find_taken_addresses(
+    table: RoutingTable, route: Route
+) -> Iterator[Finding]:
+    """Yield addresses of a route that belong to another route."""
     taken = {
-        address: route.name
-        for route in table.routes_by_name.values()
-        for address in route.addresses
-        if route.name != edit.name
+        address: other.name
+        for other in table.routes_by_name.values()
+        for address in other.addresses
+        if other.name != route.name
     }
-    addresses = edit.route.addresses if edit.route else ()
-    for index, address in enumerate(addresses):
-        place = f'route.addresses[{index}]'
-        try:
-            pack_address(address)
-        except ValueError as error:
-            yield Finding(place, str(error))
+    for index, address in enumerate(route.addresses):
         owner = taken.get(address)
         if owner is not None:
-            yield Finding(place, f'belongs to route {owner!r}')
+            yield Finding(
+                f'route.addresses[{index}]', f'belongs to route {owner!r}'
+            )
 
 
 def judge_edit(state: EditState, edit: Edit) -> EditOutcome:
@@ -89,24 +94,42 @@
 
 
 def first_outcome(state: EditState, edit_id: str) -> RepeatedEdit | None:
-    """Find the outcome of an edit id that was seen before."""
-    outcome = state.outcomes_by_edit_id.get(edit_id)
-    return None if outcome is None else RepeatedEdit(outcome)
+    """Find the outcome of an edit id that is still remembered."""
+    record = state.records_by_edit_id.get(edit_id)
+    return None if record is None else RepeatedEdit(record.outcome)
 
 
-def apply_edit(state: EditState, edit: Edit) -> EditOutcome | RepeatedEdit:
+def apply_edit(
+    state: EditState, edit: Edit, origin: EditOrigin | None = None
+) -> EditOutcome | RepeatedEdit:
     """Apply a committed edit and remember its outcome."""
     repeated = first_outcome(state, edit.edit_id)
     if repeated is not None:
         return repeated
     outcome = judge_edit(state, edit)
-    state.outcomes_by_edit_id[edit.edit_id] = outcome
+    state.records_by_edit_id[edit.edit_id] = EditRecord(outcome, origin)
+    if len(state.records_by_edit_id) > MAX_EDIT_RECORDS:
+        forget_oldest(state)
     if isinstance(outcome, Accepted):
         state.table = changed_table(state.table, edit)
         state.last_edit_by_entry[entry_key(edit)] = edit.edit_id
     return outcome
 
 
+def forget_oldest(state: EditState) -> None:
+    """Forget the edit id that was applied first of all remembered ones."""
+    state.records_by_edit_id.pop(next(iter(state.records_by_edit_id)))
+
+
+def copy_state(state: EditState) -> EditState:
+    """Copy a state, so that later edits change only one of the two."""
+    return EditState(
+        state.table,
+        dict(state.records_by_edit_id),
+        dict(state.last_edit_by_entry),
+    )
+
+
 def changed_table(table: RoutingTable, edit: Edit) -> RoutingTable:
     """Make the next version of the tables."""
     routes = dict(table.routes_by_name)
--- /dev/null
+++ b/src/mustardhold/systems/replica_log.py
@@ -0,0 +1,132 @@
+"""The replicated log in memory: look-up, append and compaction."""
+
+from collections.abc import Sequence
+
+from mustardhold.systems.edits import copy_state
+from mustardhold.tables.consensus import (
+    Command,
+    Effects,
+    LogEntry,
+    Members,
+    MembersCommand,
+    NoOp,
+    Replica,
+    Snapshot,
+)
+from mustardhold.tables.constants import KEPT_ENTRIES, SNAPSHOT_ENTRIES
+
+
+def last_entry(replica: Replica) -> LogEntry:
+    """Return the newest entry."""
+    return replica.log[-1]
+
+
+def entry_at(replica: Replica, index: int) -> LogEntry | None:
+    """Return the entry at an index, where the log still holds it."""
+    position = index - replica.log[0].index
+    if 0 <= position < len(replica.log):
+        return replica.log[position]
+    return None
+
+
+def has_entry(replica: Replica, index: int, term: int) -> bool:
+    """Tell whether the log has an entry of this term at an index."""
+    entry = entry_at(replica, index)
+    return entry is not None and entry.term == term
+
+
+def entries_after(
+    replica: Replica, index: int, limit: int
+) -> tuple[LogEntry, ...]:
+    """Return entries that follow an index which the log holds."""
+    start = index + 1 - replica.log[0].index
+    return tuple(replica.log[start : start + limit])
+
+
+def append_command(
+    replica: Replica, command: Command, effects: Effects
+) -> LogEntry:
+    """Append a command of the current term."""
+    index = last_entry(replica).index + 1
+    entry = LogEntry(replica.vote.term, index, command)
+    append_entries(replica, (entry,), effects)
+    return entry
+
+
+def append_entries(
+    replica: Replica, entries: Sequence[LogEntry], effects: Effects
+) -> None:
+    """Append entries; a change of the members is in force at once."""
+    for entry in entries:
+        replica.log.append(entry)
+        effects.appended.append(entry)
+        if isinstance(entry.command, MembersCommand):
+            replica.members = entry.command.members
+            replica.members_index = entry.index
+
+
+def drop_entries_after(
+    replica: Replica, index: int, effects: Effects
+) -> None:
+    """Drop the entries above an index, which were never committed.
+
+    Raises
+    ------
+    ValueError
+        If a committed entry would be dropped.
+    """
+    if index < replica.commit_index:
+        raise ValueError(f'entry {index + 1} is committed')
+    del replica.log[index + 1 - replica.log[0].index :]
+    effects.kept_index = index
+    find_members(replica)
+
+
+def find_members(replica: Replica) -> None:
+    """Find the members that the latest entry of the log names."""
+    for entry in reversed(replica.log):
+        if isinstance(entry.command, MembersCommand):
+            replica.members = entry.command.members
+            replica.members_index = entry.index
+            return
+    replica.members = replica.snapshot.members
+    replica.members_index = replica.snapshot.index
+
+
+def members_at(replica: Replica, index: int) -> Members:
+    """Find the members that were in force at an index of the log."""
+    for entry in reversed(replica.log):
+        if entry.index <= index and isinstance(entry.command, MembersCommand):
+            return entry.command.members
+    return replica.snapshot.members
+
+
+def compact(replica: Replica, effects: Effects) -> None:
+    """Replace applied entries by a snapshot, once there are many."""
+    index = replica.commit_index
+    if index - replica.snapshot.index < SNAPSHOT_ENTRIES:
+        return
+    entry = entry_at(replica, index)
+    if entry is None:
+        return
+    members = members_at(replica, index)
+    edits = copy_state(replica.edits)
+    replica.snapshot = Snapshot(index, entry.term, members, edits)
+    first = max(index - KEPT_ENTRIES, replica.log[0].index)
+    del replica.log[: first - replica.log[0].index]
+    effects.snapshot = replica.snapshot
+    effects.is_log_rewritten = True
+
+
+def install_snapshot(
+    replica: Replica, snapshot: Snapshot, effects: Effects
+) -> None:
+    """Take over a snapshot that is newer than what was committed."""
+    if not has_entry(replica, snapshot.index, snapshot.term):
+        replica.log = [LogEntry(snapshot.term, snapshot.index, NoOp())]
+    replica.snapshot = snapshot
+    replica.edits = copy_state(snapshot.edits)
+    replica.commit_index = snapshot.index
+    find_members(replica)
+    effects.snapshot = snapshot
+    effects.is_log_rewritten = True
--- /dev/null
+++ b/src/mustardhold/systems/replica_membership.py
@@ -0,0 +1,187 @@
+"""Forms the group of replicas, and replaces one voter at a time."""
+
+import msgspec
+
+from mustardhold.systems.election import has_lease, heard_at, others
+from mustardhold.systems.replica_log import (
+    append_command,
+    entry_at,
+    last_entry,
+)
+from mustardhold.systems.replication import broadcast, match_of
+from mustardhold.tables.consensus import (
+    Effects,
+    Hello,
+    HelloSeen,
+    Members,
+    MembersCommand,
+    Replica,
+    ReplicaMember,
+    ReplicaSend,
+    Vote,
+)
+from mustardhold.tables.constants import (
+    HELLO_INTERVAL,
+    HELLO_LIFETIME,
+    MAX_REPLICAS,
+)
+from mustardhold.tables.outcomes import Err, Ok, Outcome
+from mustardhold.tables.routing import Finding
+
+FIRST_TERM = 1
+
+
+def is_formed(replica: Replica) -> bool:
+    """Tell whether this replica has ever belonged to a group."""
+    return replica.vote.term > 0 or last_entry(replica).index > 0
+
+
+def is_member(replica: Replica) -> bool:
+    """Tell whether the log names this replica's own folder."""
+    return any(member.uid == replica.me.uid for member in replica.members)
+
+
+def is_stranger(replica: Replica) -> bool:
+    """Tell whether a formed group exists that this folder is no part of."""
+    return not is_formed(replica) and any(
+        seen.hello.is_formed for seen in replica.hellos_by_instance.values()
+    )
+
+
+def introduce(replica: Replica, now: float, effects: Effects) -> None:
+    """Say hello to all peers, until this replica belongs to a group."""
+    if is_formed(replica) or now < replica.hello_at:
+        return
+    replica.hello_at = now + HELLO_INTERVAL.total_seconds()
+    hello = Hello(replica.me, is_formed=False, is_answer=False)
+    effects.sends.extend(
+        ReplicaSend(peer, hello)
+        for peer in replica.peers
+        if peer.instance_id != replica.me.instance_id
+    )
+    form_group(replica, now, effects)
+
+
+def take_hello(
+    replica: Replica, now: float, hello: Hello, effects: Effects
+) -> None:
+    """Remember a replica that introduces itself, and answer it."""
+    seen = replica.hellos_by_instance
+    instance_id = hello.sender.instance_id
+    if instance_id not in seen and len(seen) >= MAX_REPLICAS:
+        replica.counters['membership', 'hello-refused'] += 1
+        return
+    seen[instance_id] = HelloSeen(hello, now)
+    if not hello.is_answer:
+        answer = Hello(replica.me, is_formed(replica), is_answer=True)
+        effects.sends.append(ReplicaSend(hello.sender, answer))
+
+
+def form_group(replica: Replica, now: float, effects: Effects) -> None:
+    """Form a group once all peers are new and listen to this replica.
+
+    Only the first peer by name forms it, and only with every peer there, so
+    a replica that lost its disk finds at least one that knows the group.
+    """
+    first = min(peer.instance_id for peer in replica.peers)
+    members = new_members(replica, now)
+    if first != replica.me.instance_id or members is None:
+        return
+    replica.vote = Vote(FIRST_TERM)
+    effects.vote = replica.vote
+    append_command(replica, MembersCommand(members), effects)
+    replica.election_at = now
+
+
+def new_members(replica: Replica, now: float) -> Members | None:
+    """Return all peers with their folders, if none belongs to a group."""
+    members = [replica.me]
+    for peer in replica.peers:
+        if peer.instance_id == replica.me.instance_id:
+            continue
+        seen = replica.hellos_by_instance.get(peer.instance_id)
+        if seen is None or seen.hello.is_formed:
+            return None
+        if now - seen.heard_at > HELLO_LIFETIME.total_seconds():
+            return None
+        members.append(seen.hello.sender)
+    return tuple(members)
+
+
+def find_change_fault(replica: Replica, now: float) -> str | None:
+    """Find why the members cannot change now."""
+    if not has_lease(replica, now):
+        return 'this replica does not lead a majority'
+    if replica.members_index > replica.commit_index:
+        return 'another change of the members is not committed yet'
+    committed = entry_at(replica, replica.commit_index)
+    if committed is None or committed.term != replica.vote.term:
+        return 'the leader has not committed an entry of its term yet'
+    return None
+
+
+def replace_replica(
+    replica: Replica, now: float, instance_id: str, effects: Effects
+) -> Outcome[ReplicaMember, Finding]:
+    """Take in the new folder of an instance, first as a learner.
+
+    Returns
+    -------
+    Outcome
+        The learner, or why the replica cannot be replaced.
+    """
+    fault = find_change_fault(replica, now)
+    if fault is not None:
+        return Err(Finding('replicas', fault))
+    seen = replica.hellos_by_instance.get(instance_id)
+    if seen is None or seen.hello.is_formed:
+        place = f'replicas/{instance_id}'
+        return Err(Finding(place, 'no new folder has introduced itself'))
+    learner = msgspec.structs.replace(seen.hello.sender, is_voter=False)
+    known = tuple(
+        member
+        for member in replica.members
+        if member.instance_id != instance_id or member.is_voter
+    )
+    if any(member.uid == learner.uid for member in known):
+        place = f'replicas/{instance_id}'
+        return Err(Finding(place, 'this folder is a voter already'))
+    change_members(replica, now, (*known, learner), effects)
+    return Ok(learner)
+
+
+def change_members(
+    replica: Replica, now: float, members: Members, effects: Effects
+) -> None:
+    """Put changed members into the log and send them on."""
+    append_command(replica, MembersCommand(members), effects)
+    broadcast(replica, now, effects)
+
+
+def promote_learners(replica: Replica, now: float, effects: Effects) -> None:
+    """Turn a learner that has caught up into a voter, in two changes.
+
+    The voter with its instance's lost folder leaves first.
+    """
+    learner = find_ready_learner(replica, now)
+    if learner is None or find_change_fault(replica, now) is not None:
+        return
+    kept = tuple(
+        member
+        for member in replica.members
+        if member.instance_id != learner.instance_id
+    )
+    is_replaced = len(kept) == len(replica.members) - 1
+    member = msgspec.structs.replace(learner, is_voter=is_replaced)
+    change_members(replica, now, (*kept, member), effects)
+
+
+def find_ready_learner(replica: Replica, now: float) -> ReplicaMember | None:
+    """Find a learner that answers and holds everything committed."""
+    for member in others(replica):
+        is_caught_up = match_of(replica, member.uid) >= replica.commit_index
+        silence = now - heard_at(replica, member.uid)
+        is_heard = silence < HELLO_LIFETIME.total_seconds()
+        if not member.is_voter and is_caught_up and is_heard:
+            return member
+    return None
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -23,3 +23,17 @@
 REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
 LONG_POLL: Final = timedelta(seconds=5)
 STOP_BOUND: Final = timedelta(seconds=10)
+
+MAX_EDIT_RECORDS: Final = 50_000
+MAX_PENDING_ENTRIES: Final = 1_000
+MAX_ENTRIES_PER_MESSAGE: Final = 200
+MAX_REPLICAS: Final = 24
+SNAPSHOT_ENTRIES: Final = 1_000
+KEPT_ENTRIES: Final = 200
+HEARTBEAT: Final = timedelta(milliseconds=200)
+MIN_ELECTION_TIMEOUT: Final = timedelta(milliseconds=1_000)
+MAX_ELECTION_TIMEOUT: Final = timedelta(milliseconds=2_000)
+LEADER_LEASE: Final = timedelta(milliseconds=800)
+HELLO_INTERVAL: Final = timedelta(milliseconds=500)
+HELLO_LIFETIME: Final = timedelta(seconds=3)
+SNAPSHOT_RETRY: Final = timedelta(seconds=5)
--- a/src/mustardhold/tables/routing.py
+++ b/src/mustardhold/tables/routing.py
@@ -130,7 +130,15 @@
     leader_id: str | None
 
 
-EditOutcome = Accepted | Conflict | Refused | NoQuorum
+class Overloaded(msgspec.Struct, frozen=True, tag='overloaded'):
+    """Too many edits wait for their commit; this one was not kept."""
+
+
+class Unknown(msgspec.Struct, frozen=True, tag='unknown'):
+    """The edit was sent on, but not confirmed; resend it with the same id."""
+
+
+EditOutcome = Accepted | Conflict | Refused | NoQuorum | Overloaded | Unknown
 
 
 class RepeatedEdit(msgspec.Struct, frozen=True, tag='repeated'):
--- /dev/null
+++ b/tools/fakes/disks.py
@@ -0,0 +1,132 @@
+"""A disk that loses what was not synced, tears, fills up and fails."""
+
+import random
+from dataclasses import dataclass, field
+
+
+class CrashError(Exception):
+    """The process ends here: its disk failed, or it was killed."""
+
+
+@dataclass(slots=True)
+class FakeFile:
+    """A file as the process sees it, and as it is on the platter."""
+
+    content: bytearray = field(default_factory=bytearray)
+    synced: bytes = b''
+
+
+@dataclass(slots=True)
+class FakeDisk:
+    """A data folder in memory.
+
+    Attributes
+    ----------
+    synced_names
+        Files by name, as a crash leaves them.
+    is_syncing
+        Whether syncs do anything; a naive process does without.
+    bytes_left
+        Room; a write beyond it fails.
+    operations_left
+        Operations until the process is killed within one.
+    """
+
+    rng: random.Random
+    files_by_name: dict[str, FakeFile] = field(default_factory=dict)
+    synced_names: dict[str, FakeFile] = field(default_factory=dict)
+    is_syncing: bool = True
+    bytes_left: int | None = None
+    operations_left: int | None = None
+    writes: int = 0
+    syncs: int = 0
+
+    def read(self, name: str) -> bytes | None:
+        """Read a file whole, or nothing where there is none."""
+        file = self.files_by_name.get(name)
+        return None if file is None else bytes(file.content)
+
+    def append(self, name: str, content: bytes) -> None:
+        """Write at the end of a file; a kill leaves a part of it."""
+        self.writes += 1
+        file = self.files_by_name.setdefault(name, FakeFile())
+        try:
+            self._operate()
+        except CrashError:
+            file.content += content[: self.rng.randrange(len(content))]
+            raise
+        if self.bytes_left is not None:
+            room = max(self.bytes_left, 0)
+            self.bytes_left -= len(content)
+            if self.bytes_left < 0:
+                file.content += content[:room]
+                raise OSError('no space left on device')
+        file.content += content
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes."""
+        self._operate()
+        del self.files_by_name[name].content[size:]
+
+    def sync(self, name: str) -> None:
+        """Make a file's content durable."""
+        self._operate()
+        self.syncs += 1
+        if self.is_syncing:
+            file = self.files_by_name[name]
+            file.synced = bytes(file.content)
+
+    def rename(self, old: str, new: str) -> None:
+        """Give a file another name, in place of the file that had it."""
+        self._operate()
+        self.files_by_name[new] = self.files_by_name.pop(old)
+
+    def remove(self, name: str) -> None:
+        """Remove a file, where there is one."""
+        self.files_by_name.pop(name, None)
+
+    def sync_folder(self) -> None:
+        """Make the names of the files durable."""
+        self._operate()
+        self.syncs += 1
+        if self.is_syncing:
+            self.synced_names = dict(self.files_by_name)
+
+    def _operate(self) -> None:
+        if self.operations_left is None:
+            return
+        self.operations_left -= 1
+        if self.operations_left < 0:
+            raise CrashError('killed')
+
+
+def crash(disk: FakeDisk) -> None:
+    """Leave what a crash of the machine leaves.
+
+    Names that were not synced are there or not; of what was appended since
+    the last sync a part is left.
+    """
+    names = disk.synced_names
+    if disk.rng.random() < 0.5:
+        names = {**disk.synced_names, **disk.files_by_name}
+    kept = {name: crashed_file(disk, file) for name, file in names.items()}
+    disk.files_by_name = kept
+    disk.synced_names = dict(kept)
+    disk.operations_left = None
+
+
+def crashed_file(disk: FakeDisk, file: FakeFile) -> FakeFile:
+    """Return a file as it is after a crash."""
+    content = file.synced
+    if bytes(file.content).startswith(content):
+        tail = bytes(file.content[len(content) :])
+        content += tail[: disk.rng.randrange(len(tail) + 1)]
+    return FakeFile(bytearray(content), content)
+
+
+def damage_middle(disk: FakeDisk, name: str) -> None:
+    """Flip one bit in the first half of a file."""
+    file = disk.files_by_name[name]
+    place = disk.rng.randrange(len(file.content) // 2)
+    file.content[place] ^= 1 << disk.rng.randrange(8)
+    file.synced = bytes(file.content)
--- /dev/null
+++ b/tools/fakes/naive_control.py
@@ -0,0 +1,51 @@
+"""Control replicas without a quorum: the last write wins."""
+
+from dataclasses import dataclass, field
+
+from mustardhold.systems.edits import changed_table
+from mustardhold.tables.routing import (
+    Accepted,
+    Edit,
+    RoutingTable,
+    empty_table,
+)
+from tools.fakes.event_queue import make_queue, schedule_every
+from tools.fakes.network import Network, send
+from tools.fakes.operators import Service
+from tools.fakes.replicas import Answer
+
+GOSSIP_SECONDS = 0.2
+
+
+@dataclass(slots=True)
+class LastWriteGroup:
+    """Replicas that take every edit at once and share tables later."""
+
+    network: Network
+    tables_by_name: dict[str, RoutingTable] = field(default_factory=dict)
+
+
+def make_last_write_service(seed: int, names: tuple[str, ...]) -> Service:
+    """Make the naive replicas, as their users reach them."""
+    queue = make_queue(seed)
+    network = Network(queue, loss=0.02, repeats=0.02)
+    group = LastWriteGroup(network, dict.fromkeys(names, empty_table()))
+
+    def submit(name: str, edit: Edit, answer: Answer) -> None:
+        table = changed_table(group.tables_by_name[name], edit)
+        group.tables_by_name[name] = table
+        answer(Accepted(table.version))
+
+    def gossip(name: str) -> None:
+        table = group.tables_by_name[name]
+        for other in names:
+            if other != name:
+                send(network, name, other, lambda o=other: take(o, table))
+
+    def take(name: str, table: RoutingTable) -> None:
+        if table.version > group.tables_by_name[name].version:
+            group.tables_by_name[name] = table
+
+    for name in names:
+        schedule_every(queue, GOSSIP_SECONDS, lambda name=name: gossip(name))
+    return Service(queue, network, names, submit, group.tables_by_name.get)
--- /dev/null
+++ b/tools/fakes/operators.py
@@ -0,0 +1,245 @@
+"""Operators that edit the tables, and balancers that take them over."""
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mustardhold.tables.routing import (
+    Accepted,
+    Conflict,
+    Edit,
+    EntryKind,
+    Pool,
+    RepeatedEdit,
+    RoutingTable,
+    empty_table,
+)
+from tools.fakes.event_queue import Action, EventQueue, schedule
+from tools.fakes.linearizability import Call, find_order
+from tools.fakes.network import Network, send
+from tools.fakes.replicas import AnyOutcome, Answer
+from tools.registry import Violation
+
+RESEND_SECONDS = 1.5
+TRIES = 12
+POLL_SECONDS = 0.2
+POOLS = ('werkstatt', 'katalog')
+
+Submit = Callable[[str, Edit, Answer], None]
+Show = Callable[[str], RoutingTable | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """The control replicas as their users reach them.
+
+    Attributes
+    ----------
+    submit
+        Gives an edit to the named replica, which answers in its own time.
+    show
+        Returns the table of the named replica, if it runs.
+    """
+
+    queue: EventQueue
+    network: Network
+    names: tuple[str, ...]
+    submit: Submit
+    show: Show
+
+
+@dataclass(slots=True)
+class Users:
+    """Operators and balancers of a run, and what they saw.
+
+    Attributes
+    ----------
+    outcomes_by_edit_id
+        Every certain answer to an edit id, with repeats undone.
+    in_force_at
+        When a balancer first had a version, by balancer and version.
+    reverted
+        Tables that lacked an edit which was accepted before.
+    """
+
+    service: Service
+    balancers_by_name: dict[str, RoutingTable] = field(default_factory=dict)
+    calls: list[Call] = field(default_factory=list)
+    outcomes_by_edit_id: dict[str, list[Accepted | Conflict]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    in_force_at: dict[tuple[str, int], float] = field(default_factory=dict)
+    reverted: list[str] = field(default_factory=list)
+
+
+def add_balancer(users: Users, name: str) -> None:
+    """Add a balancer that polls the replicas in turn."""
+    users.balancers_by_name[name] = empty_table()
+    service = users.service
+
+    def poll() -> None:
+        schedule(service.queue, POLL_SECONDS, poll)
+        replica = service.queue.rng.choice(service.names)
+        send(service.network, name, replica, lambda: answer(replica))
+
+    def answer(replica: str) -> None:
+        table = service.show(replica)
+        if table is not None:
+            send(
+                service.network, replica, name, lambda: install(users, name, table)
+            )
+
+    schedule(service.queue, POLL_SECONDS, poll)
+
+
+def install(users: Users, name: str, table: RoutingTable) -> None:
+    """Put a newer table in force; check that it keeps what was accepted."""
+    held = users.balancers_by_name[name]
+    if table.version <= held.version:
+        return
+    users.balancers_by_name[name] = table
+    now = users.service.queue.now
+    for version in range(held.version + 1, table.version + 1):
+        users.in_force_at[name, version] = now
+    for entry, version in held.entry_versions.items():
+        if table.entry_versions.get(entry, 0) < version:
+            users.reverted.append(f'{entry} of version {version} at {name}')
+
+
+def pool_edit(edit_id: str, name: str, version: int) -> Edit:
+    """Make an edit whose result shows which edit made it."""
+    pool = Pool(name, drained=(edit_id,))
+    return Edit(edit_id, EntryKind.POOL, name, version, pool=pool)
+
+
+def start_operator(users: Users, name: str, until: float) -> None:
+    """Start an operator who sends one edit after another."""
+    queue = users.service.queue
+
+    def go_on() -> None:
+        if queue.now >= until:
+            return
+        pool = queue.rng.choice(POOLS)
+        table = users.balancers_by_name[
+            queue.rng.choice(list(users.balancers_by_name))
+        ]
+        version = table.entry_versions.get(f'pool/{pool}', 0)
+        edit = pool_edit(f'{name}-{len(users.calls)}', pool, version)
+        send_edit(users, name, edit, then=pause)
+
+    def pause() -> None:
+        schedule(queue, queue.rng.uniform(0.05, 0.6), go_on)
+
+    schedule(queue, queue.rng.uniform(0, 0.5), go_on)
+
+
+def send_edit(
+    users: Users, operator: str, edit: Edit, then: Action | None = None
+) -> Call:
+    """Send an edit, again under its id until a certain answer comes."""
+    service = users.service
+    call = Call(
+        edit.edit_id,
+        edit.name,
+        edit.expected_version,
+        service.queue.now,
+    )
+    users.calls.append(call)
+    tries = 0
+
+    def attempt() -> None:
+        nonlocal tries
+        if math.isfinite(call.returned_at):
+            return
+        tries += 1
+        if tries > TRIES:
+            if then is not None:
+                then()
+            return
+        replica = service.queue.rng.choice(service.names)
+        send(
+            service.network,
+            operator,
+            replica,
+            lambda: service.submit(replica, edit, lambda got: back(replica, got)),
+        )
+        schedule(service.queue, RESEND_SECONDS, attempt)
+
+    def back(replica: str, outcome: AnyOutcome) -> None:
+        send(service.network, replica, operator, lambda: note(outcome))
+
+    def note(outcome: AnyOutcome) -> None:
+        first = outcome.first if isinstance(outcome, RepeatedEdit) else outcome
+        if not isinstance(first, Accepted | Conflict):
+            return
+        users.outcomes_by_edit_id[call.edit_id].append(first)
+        if math.isinf(call.returned_at):
+            call.returned_at = service.queue.now
+            call.outcome = first
+            if then is not None:
+                then()
+
+    attempt()
+    return call
+
+
+def accepted_calls(users: Users) -> list[tuple[Call, int]]:
+    """Return the calls that were accepted, with their versions."""
+    return [
+        (call, call.outcome.version)
+        for call in users.calls
+        if isinstance(call.outcome, Accepted)
+    ]
+
+
+def find_lost(
+    users: Users, tables: list[tuple[str, RoutingTable]]
+) -> list[Violation]:
+    """Find accepted edits that a later table does not hold."""
+    promise = 'an accepted edit is in force everywhere and never reverts'
+    lost = [
+        f'{call.edit_id}, accepted as version {version} at '
+        f'{call.returned_at:.2f} s, is not in the table of {name}'
+        for name, table in tables
+        for call, version in accepted_calls(users)
+        if not holds(table, call, version)
+    ]
+    return [Violation(promise, seen) for seen in lost + users.reverted]
+
+
+def holds(table: RoutingTable, call: Call, version: int) -> bool:
+    """Tell whether a table holds an accepted edit or a later one."""
+    held = table.entry_versions.get(f'pool/{call.entry}', 0)
+    if held != version:
+        return held > version
+    pool = table.pools_by_name[call.entry]
+    return pool.drained == (call.edit_id,)
+
+
+def find_races(users: Users) -> list[Violation]:
+    """Find entries whose edits no order explains."""
+    calls_by_entry: dict[str, list[Call]] = defaultdict(list)
+    for call in users.calls:
+        calls_by_entry[call.entry].append(call)
+    return [
+        Violation(
+            'of edits with equal versions one wins, and the others name it',
+            f'no order explains the {len(calls)} edits of {entry}',
+        )
+        for entry, calls in calls_by_entry.items()
+        if find_order(calls) is None
+    ]
+
+
+def find_changed_answers(users: Users) -> list[Violation]:
+    """Find edit ids that got two different first outcomes."""
+    return [
+        Violation(
+            'a resent edit gets its first outcome and is applied once',
+            f'{edit_id} got {outcomes[0]}, then {outcome}',
+        )
+        for edit_id, outcomes in users.outcomes_by_edit_id.items()
+        for outcome in outcomes
+        if outcome != outcomes[0]
+    ]
--- /dev/null
+++ b/tools/fakes/replicas.py
@@ -0,0 +1,338 @@
+"""Control replicas over a fake network and fake disks, on virtual time."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mustardhold.adapters.records import DamagedFileError
+from mustardhold.adapters.replica_store import (
+    ReplicaStore,
+    open_identity,
+    open_store,
+    save_effects,
+)
+from mustardhold.systems import consensus
+from mustardhold.tables.consensus import (
+    Effects,
+    NotLeader,
+    Pending,
+    Replica,
+    ReplicaMember,
+    ReplicaMessage,
+    ReplicaSend,
+    Role,
+)
+from mustardhold.tables.routing import (
+    Edit,
+    EditOutcome,
+    NoQuorum,
+    RepeatedEdit,
+    RoutingTable,
+    Unknown,
+)
+from tools.fakes.disks import CrashError, FakeDisk, crash
+from tools.fakes.event_queue import (
+    Action,
+    EventQueue,
+    make_queue,
+    schedule,
+    schedule_every,
+)
+from tools.fakes.network import Network, send
+
+TICK_SECONDS = 0.05
+AnyOutcome = EditOutcome | RepeatedEdit
+Answer = Callable[[AnyOutcome], None]
+
+
+@dataclass(slots=True)
+class Node:
+    """One control process and its disk.
+
+    Attributes
+    ----------
+    replica
+        None while the process is down.
+    answers_by_index
+        Who waits for the outcome of an entry, with the entry's term.
+    backlog
+        What waits for a frozen process; None while it runs.
+    """
+
+    name: str
+    disk: FakeDisk
+    replica: Replica | None = None
+    store: ReplicaStore | None = None
+    answers_by_index: dict[int, tuple[int, Answer]] = field(
+        default_factory=dict
+    )
+    backlog: list[Action] | None = None
+    starts: int = 0
+
+
+@dataclass(slots=True)
+class Group:
+    """Control replicas, and every table that one of them has shown.
+
+    Attributes
+    ----------
+    uid_by_name
+        Fixed folder identities, for a naive version.
+    is_deduplicating
+        Whether edit ids are left as they are.
+    tables_by_version, torn_versions
+        First table shown at a version; versions shown with two contents.
+    """
+
+    queue: EventQueue
+    network: Network
+    nodes_by_name: dict[str, Node]
+    uid_by_name: dict[str, str] = field(default_factory=dict)
+    is_deduplicating: bool = True
+    tables_by_version: dict[int, RoutingTable] = field(default_factory=dict)
+    torn_versions: list[int] = field(default_factory=list)
+    renamed: int = 0
+
+
+def make_group(seed: int, names: tuple[str, ...], *, syncing: bool) -> Group:
+    """Make replicas with empty disks, and start them."""
+    queue = make_queue(seed)
+    network = Network(queue, loss=0.02, repeats=0.02)
+    nodes = {
+        name: Node(name, make_disk(queue, syncing=syncing)) for name in names
+    }
+    group = Group(queue, network, nodes)
+    for name in names:
+        start(group, name)
+        schedule_every(
+            queue, TICK_SECONDS, lambda name=name: tick(group, name)
+        )
+    return group
+
+
+def make_disk(queue: EventQueue, *, syncing: bool) -> FakeDisk:
+    """Make an empty disk with a random source of its own."""
+    return FakeDisk(random.Random(queue.rng.random()), is_syncing=syncing)
+
+
+def address_of(name: str) -> ReplicaMember:
+    """Address a replica whose folder is not known."""
+    return ReplicaMember('', name, name)
+
+
+def start(group: Group, name: str) -> None:
+    """Start a process on what its disk holds."""
+    node = group.nodes_by_name[name]
+    node.starts += 1
+    fresh = f'{name}/{node.starts}'
+    uid = group.uid_by_name.get(name, fresh)
+    identity = open_identity(node.disk, name, uid)
+    store, saved = open_store(node.disk)
+    replica = consensus.make_replica(
+        ReplicaMember(identity.uid, name, name),
+        tuple(address_of(other) for other in group.nodes_by_name),
+        random.Random(group.queue.rng.random()).random,
+        group.queue.now,
+    )
+    consensus.restore_replica(replica, saved.vote, saved.snapshot, saved.log)
+    node.replica = replica
+    node.store = store
+    group.network.down.discard(name)
+
+
+def kill(group: Group, name: str) -> None:
+    """End a process at once; its disk loses what was not synced."""
+    node = group.nodes_by_name[name]
+    node.replica = None
+    node.store = None
+    node.backlog = None
+    node.answers_by_index.clear()
+    group.network.down.add(name)
+    crash(node.disk)
+
+
+def wipe(group: Group, name: str) -> None:
+    """End a process and lose its disk."""
+    kill(group, name)
+    node = group.nodes_by_name[name]
+    node.disk = make_disk(group.queue, syncing=node.disk.is_syncing)
+
+
+def restart_later(group: Group, name: str, delay: float) -> None:
+    """Start a process again, if it is down then."""
+
+    def restart() -> None:
+        node = group.nodes_by_name[name]
+        node.disk.bytes_left = None
+        if node.replica is not None:
+            return
+        try:
+            start(group, name)
+        except CrashError:
+            kill(group, name)
+            restart_later(group, name, delay)
+        except DamagedFileError:
+            if node.disk.is_syncing:
+                raise
+            wipe(group, name)
+            start(group, name)
+
+    schedule(group.queue, delay, restart)
+
+
+def freeze(group: Group, name: str, seconds: float) -> None:
+    """Hold a process; what arrives waits until it goes on."""
+    node = group.nodes_by_name[name]
+    if node.backlog is not None or node.replica is None:
+        return
+    node.backlog = []
+
+    def thaw() -> None:
+        backlog, node.backlog = node.backlog or [], None
+        for action in backlog:
+            at_node(group, name, action)
+
+    schedule(group.queue, seconds, thaw)
+
+
+def at_node(group: Group, name: str, action: Action) -> None:
+    """Run an action at a process that lives; a failed disk ends it."""
+    node = group.nodes_by_name[name]
+    if node.backlog is not None:
+        node.backlog.append(action)
+        return
+    if node.replica is None:
+        return
+    try:
+        action()
+    except (CrashError, OSError):
+        kill(group, name)
+        restart_later(group, name, group.queue.rng.uniform(0.2, 3))
+
+
+def tick(group: Group, name: str) -> None:
+    """Let a process act on the time."""
+    node = group.nodes_by_name[name]
+    if node.backlog is None:
+        at_node(group, name, lambda: run_tick(group, node))
+
+
+def run_tick(group: Group, node: Node) -> None:
+    """Run the replica's own clockwork."""
+    if node.replica is not None:
+        follow_effects(
+            group, node, consensus.tick(node.replica, group.queue.now)
+        )
+
+
+def follow_effects(group: Group, node: Node, effects: Effects) -> None:
+    """Save, send and answer, in this order."""
+    if node.replica is None or node.store is None:
+        return
+    save_effects(node.store, effects, node.replica.log)
+    for one in effects.sends:
+        send_message(group, node.name, one)
+    for applied in effects.applied:
+        term, answer = node.answers_by_index.pop(
+            applied.index, (0, lambda _: None)
+        )
+        answer(applied.outcome if term == applied.term else Unknown())
+    if effects.applied or effects.snapshot is not None:
+        note_table(group, node.replica.edits.table)
+
+
+def note_table(group: Group, table: RoutingTable) -> None:
+    """Note a table that was shown; one version has one content."""
+    first = group.tables_by_version.setdefault(table.version, table)
+    if first != table and table.version not in group.torn_versions:
+        group.torn_versions.append(table.version)
+
+
+def send_message(group: Group, sender: str, one: ReplicaSend) -> None:
+    """Send a message to the process that its receiver's address names."""
+    name = one.receiver.instance_id
+    uid = one.receiver.uid
+
+    def take() -> None:
+        replica = group.nodes_by_name[name].replica
+        if replica is not None and uid in {'', replica.me.uid}:
+            run_step(group, group.nodes_by_name[name], one.message)
+
+    send(group.network, sender, name, lambda: at_node(group, name, take))
+
+
+def run_step(group: Group, node: Node, message: ReplicaMessage) -> None:
+    """Let a replica act on a message."""
+    if node.replica is not None:
+        effects = consensus.step(node.replica, group.queue.now, message)
+        follow_effects(group, node, effects)
+
+
+def submit(
+    group: Group, name: str, edit: Edit, answer: Answer, hops: int = 1
+) -> None:
+    """Give an edit to a process, which hands it to the leader it knows."""
+    node = group.nodes_by_name[name]
+    if node.replica is None:
+        return
+    if not group.is_deduplicating:
+        group.renamed += 1
+        edit = rename(edit, f'{edit.edit_id}#{group.renamed}')
+    now = group.queue.now
+    proposed, effects = consensus.propose_edit(node.replica, now, edit, now)
+    if isinstance(proposed, Pending):
+        node.answers_by_index[proposed.index] = (proposed.term, answer)
+    follow_effects(group, node, effects)
+    if isinstance(proposed, NotLeader):
+        leader = proposed.leader
+        if leader is None or not hops:
+            answer(NoQuorum(None))
+            return
+        hand_on(group, name, leader.instance_id, edit, answer)
+    elif not isinstance(proposed, Pending):
+        answer(proposed)
+
+
+def hand_on(
+    group: Group, name: str, leader: str, edit: Edit, answer: Answer
+) -> None:
+    """Send an edit to the leader, and its answer back the same way."""
+
+    def answer_back(outcome: AnyOutcome) -> None:
+        send(group.network, leader, name, lambda: answer(outcome))
+
+    def take() -> None:
+        submit(group, leader, edit, answer_back, hops=0)
+
+    send(group.network, name, leader, lambda: at_node(group, leader, take))
+
+
+def rename(edit: Edit, edit_id: str) -> Edit:
+    """Give an edit another id."""
+    return Edit(
+        edit_id,
+        edit.kind,
+        edit.name,
+        edit.expected_version,
+        edit.route,
+        edit.pool,
+    )
+
+
+def live_replicas(group: Group) -> list[Replica]:
+    """Return the replicas of all running processes."""
+    return [
+        node.replica
+        for node in group.nodes_by_name.values()
+        if node.replica is not None
+    ]
+
+
+def leader_name(group: Group) -> str | None:
+    """Return the leader of the newest term."""
+    leaders = [
+        (replica.vote.term, replica.me.instance_id)
+        for replica in live_replicas(group)
+        if replica.role is Role.LEADER
+    ]
+    return max(leaders)[1] if leaders else None
--- /dev/null
+++ b/tools/proofs/control_failures.py
@@ -0,0 +1,273 @@
+"""Isolated leaders, lost disks and restarts of control replicas."""
+
+from mustardhold.adapters.records import DamagedFileError
+from mustardhold.systems.replica_membership import (
+    is_stranger,
+    replace_replica,
+)
+from mustardhold.tables.consensus import Effects, Replica, Role
+from mustardhold.tables.constants import LEADER_LEASE, MIN_ELECTION_TIMEOUT
+from mustardhold.tables.outcomes import Err
+from mustardhold.tables.routing import Accepted, RoutingTable
+from tools.fakes.control_runs import (
+    NAMES,
+    Run,
+    cut_off,
+    find_broken,
+    make_last_write_users,
+    make_run,
+    settle,
+    start_operators,
+)
+from tools.fakes.disks import damage_middle
+from tools.fakes.event_queue import run_until
+from tools.fakes.operators import (
+    Users,
+    find_lost,
+    pool_edit,
+    send_edit,
+)
+from tools.fakes.replicas import (
+    AnyOutcome,
+    follow_effects,
+    freeze,
+    kill,
+    leader_name,
+    live_replicas,
+    restart_later,
+    start,
+    wipe,
+)
+from tools.registry import Proof, Violation
+
+LEASE_SECONDS = LEADER_LEASE.total_seconds()
+ISOLATED_SECONDS = 60.0
+PROBE_SECONDS = 0.5
+EDITS_BEFORE_RESTART = 500
+EDIT_SECONDS = 0.02
+
+
+def probe(users: Users, name: str, count: int) -> list[tuple[float, AnyOutcome]]:
+    """Send edits straight to one replica, one each half second."""
+    queue = users.service.queue
+    answers: list[tuple[float, AnyOutcome]] = []
+    for number in range(count):
+        edit = pool_edit(f'probe-{name}-{number}', f'pool-{number}', 0)
+        users.service.submit(
+            name, edit, lambda outcome: answers.append((queue.now, outcome))
+        )
+        run_until(queue, queue.now + PROBE_SECONDS)
+    return answers
+
+
+def run_isolated_leader(seed: int, *, naive: bool) -> list[Violation]:
+    """Cut the leader off for a minute, by its links or by a freeze."""
+    run = None if naive else make_run(seed)
+    users = make_last_write_users(seed) if run is None else run.users
+    queue = users.service.queue
+    leader = 'c1' if run is None else leader_name(run.group) or 'c1'
+    cut_at = queue.now
+    if run is not None and seed % 3 == 0:
+        freeze(run.group, leader, ISOLATED_SECONDS)
+    else:
+        cut_off(users, leader, ISOLATED_SECONDS)
+    start_operators(users, cut_at + ISOLATED_SECONDS)
+    count = int(ISOLATED_SECONDS / PROBE_SECONDS / 2)
+    answers = probe(users, leader, count)
+    late = [
+        Violation(
+            'an isolated leader stops accepting within its lease',
+            f'{outcome} at {at - cut_at:.2f} s after the cut',
+        )
+        for at, outcome in answers
+        if isinstance(outcome, Accepted)
+        and LEASE_SECONDS < at - cut_at <= ISOLATED_SECONDS
+    ]
+    run_until(queue, cut_at + ISOLATED_SECONDS)
+    if run is None:
+        run_until(queue, queue.now + 10)
+        return late + find_lost(users, list(users.balancers_by_name.items()))
+    return late[:1] + find_disturbance(run) + settle(run) + find_broken(run)
+
+
+def find_disturbance(run: Run) -> list[Violation]:
+    """Find whether the return of a replica costs the leader its term."""
+    queue = run.group.queue
+    before = leader_term(run)
+    run_until(queue, queue.now + 5 * MIN_ELECTION_TIMEOUT.total_seconds())
+    after = leader_term(run)
+    if before == after:
+        return []
+    return [
+        Violation(
+            'a replica that returns disturbs nothing',
+            f'leader and term were {before}, then {after}',
+        )
+    ]
+
+
+def leader_term(run: Run) -> tuple[str | None, int]:
+    """Return the leader of the newest term, and the term."""
+    terms = [
+        replica.vote.term
+        for replica in live_replicas(run.group)
+        if replica.role is Role.LEADER
+    ]
+    return leader_name(run.group), max(terms, default=0)
+
+
+def replica_of(run: Run, name: str) -> Replica | None:
+    """Return the replica of a running process."""
+    return run.group.nodes_by_name[name].replica
+
+
+def edit_for(run: Run, seconds: float) -> None:
+    """Let two operators edit for a while."""
+    queue = run.group.queue
+    start_operators(run.users, queue.now + seconds, 2)
+    run_until(queue, queue.now + seconds)
+
+
+def run_lost_disk(seed: int, *, naive: bool) -> list[Violation]:
+    """Lose a disk, then others; naive: the wiped replica keeps its identity.
+
+    The first cut leaves one replica without the edits, the loss of the disk
+    takes them from the second, and the third goes down: nobody may go on.
+    """
+    run = make_run(seed)
+    queue = run.group.queue
+    leader = leader_name(run.group) or NAMES[0]
+    lagging, lost = (name for name in NAMES if name != leader)
+    if naive:
+        run.group.uid_by_name[lost] = uid_of(run, lost)
+    run.group.network.side_by_node[lagging] = 1
+    edit_for(run, 4)
+    kill(run.group, leader)
+    wipe(run.group, lost)
+    start(run.group, lost)
+    run.group.network.side_by_node.clear()
+    edit_for(run, 6)
+    broken = find_revival(run, lost)
+    start(run.group, leader)
+    edit_for(run, 4)
+    if naive:
+        return broken + settle(run) + find_broken(run)
+    broken += repair(run, lost)
+    second = queue.rng.choice([leader, lagging])
+    kill(run.group, second)
+    wipe(run.group, second)
+    edit_for(run, 4)
+    return broken + settle(run) + find_broken(run)
+
+
+def uid_of(run: Run, name: str) -> str:
+    """Return the identity of a replica's folder."""
+    replica = replica_of(run, name)
+    return '' if replica is None else replica.me.uid
+
+
+def find_revival(run: Run, lost: str) -> list[Violation]:
+    """Find whether a replica with a lost disk takes part again."""
+    replica = replica_of(run, lost)
+    if replica is not None and is_stranger(replica):
+        return []
+    return [
+        Violation(
+            'a replica with a lost disk is refused under its old identity',
+            f'{lost} takes part again',
+        )
+    ]
+
+
+def repair(run: Run, lost: str) -> list[Violation]:
+    """Replace a replica, and wait until it is a voter."""
+    promise = 'a replica with a lost disk is replaced'
+    group = run.group
+    name = leader_name(group)
+    replica = None if name is None else replica_of(run, name)
+    if name is None or replica is None:
+        return [Violation(promise, 'there is no leader')]
+    node = group.nodes_by_name[name]
+    effects = Effects()
+    taken = replace_replica(replica, group.queue.now, lost, effects)
+    if isinstance(taken, Err):
+        return [Violation(promise, str(taken.error))]
+    follow_effects(group, node, effects)
+    run_until(group.queue, group.queue.now + 5)
+    uid = uid_of(run, lost)
+    voters = [
+        member.uid
+        for live in live_replicas(group)
+        for member in live.members
+        if member.is_voter and member.uid == uid
+    ]
+    if len(voters) == len(NAMES):
+        return []
+    return [Violation(promise, f'{len(voters)} replicas know the new voter')]
+
+
+def run_restart(seed: int, *, naive: bool) -> list[Violation]:
+    """End all processes after hundreds of edits; damage one folder."""
+    run = make_run(seed, syncing=not naive)
+    group = run.group
+    if naive:
+        group.uid_by_name.update((name, name) for name in NAMES)
+    for number in range(EDITS_BEFORE_RESTART):
+        name = f'pool-{number % 9}'
+        version = max(
+            table.entry_versions.get(f'pool/{name}', 0)
+            for table in all_tables(run)
+        )
+        send_edit(run.users, 'o1', pool_edit(f'e{number}', name, version))
+        run_until(group.queue, group.queue.now + EDIT_SECONDS)
+    for name in NAMES:
+        kill(group, name)
+    broken = [] if naive else find_damage_taken(run)
+    for name in NAMES:
+        restart_later(group, name, 0)
+    return broken + settle(run) + find_broken(run)
+
+
+def all_tables(run: Run) -> list[RoutingTable]:
+    """Return the tables of all running replicas."""
+    return [replica.edits.table for replica in live_replicas(run.group)]
+
+
+def find_damage_taken(run: Run) -> list[Violation]:
+    """Find whether a replica starts on a log with a damaged middle."""
+    name = run.group.queue.rng.choice(NAMES)
+    disk = run.group.nodes_by_name[name].disk
+    file = disk.files_by_name['log']
+    intact = bytes(file.content)
+    damage_middle(disk, 'log')
+    try:
+        start(run.group, name)
+    except DamagedFileError:
+        file.content[:] = intact
+        file.synced = intact
+        return []
+    return [Violation('a damaged log is refused', f'{name} started on it')]
+
+
+PROOFS = (
+    Proof(
+        'isolated-leader',
+        'an isolated leader stops accepting within its lease; its return '
+        'disturbs nothing',
+        run_isolated_leader,
+        ci_seeds=3,
+    ),
+    Proof(
+        'lost-disk',
+        'a replica with a lost disk is refused, then replaced; a second loss '
+        'right after loses no accepted edit',
+        run_lost_disk,
+        ci_seeds=4,
+    ),
+    Proof(
+        'restart',
+        'no accepted edit is lost by a restart after hundreds of edits',
+        run_restart,
+        ci_seeds=2,
+    ),
+)
