--- a/src/mustardhold/adapters/http_app.py
+++ b/src/mustardhold/adapters/http_app.py
@@ -46,14 +46,16 @@
     return json_reply(Refused((Finding(place, message),)), status)
 
 
-def make_app(handlers: HandlersByPath) -> Application:
+def make_app(
+    handlers: HandlersByPath, max_body_bytes: int = MAX_BODY_BYTES
+) -> Application:
     """Make the ASGI application that serves some handlers."""
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         if scope['type'] == 'lifespan':
             await answer_lifespan(receive, send)
         elif scope['type'] == 'http':
-            reply = await answer(handlers, scope, receive)
+            reply = await answer(handlers, scope, receive, max_body_bytes)
             await send_reply(reply, send)
 
     return app
@@ -68,12 +70,14 @@
             return
 
 
-async def answer(handlers: HandlersByPath, scope: Any, receive: Any) -> Reply:
+async def answer(
+    handlers: HandlersByPath, scope: Any, receive: Any, max_body_bytes: int
+) -> Reply:
     """Read a request and call its handler."""
     handler = handlers.get((scope['method'], scope['path']))
     if handler is None:
         return refuse('path', 'no such page', HTTPStatus.NOT_FOUND)
-    body = await read_body(receive)
+    body = await read_body(receive, max_body_bytes)
     if body is None:
         return refuse(
             'body', 'is too large', HTTPStatus.REQUEST_ENTITY_TOO_LARGE
@@ -85,13 +89,13 @@
         return refuse('body', str(error), HTTPStatus.BAD_REQUEST)
 
 
-async def read_body(receive: Any) -> bytes | None:
+async def read_body(receive: Any, max_body_bytes: int) -> bytes | None:
     """Read a request's body, or nothing where it is too large."""
     body = bytearray()
     while True:
         event = await receive()
         body += event.get('body', b'')
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > max_body_bytes:
             return None
         if not event.get('more_body', False):
             return bytes(body)
--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -22,7 +22,8 @@
 from mustardhold.adapters.peer_codec import decode_message, encode_message
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.stopping import stop_on_signal
-from mustardhold.daemons.table_feed import follow_tables
+from mustardhold.daemons.table_feed import follow_tables, make_feed
+from mustardhold.daemons.table_pages import show_changes
 from mustardhold.systems.addresses import caller_address, split_address
 from mustardhold.systems.affinity import (
     take_backend_packet,
@@ -176,9 +177,11 @@
     """Run a balancer until it is told to stop."""
     balancer = make_balancer(options, clock, log)
     stopping = trio.Event()
+    feed = make_feed(options, balancer.tables, clock, log)
     app = make_app(
         {
             ('POST', '/announce'): functools.partial(take_announce, balancer),
+            ('GET', '/changes'): functools.partial(show_changes, feed.watch),
             ('GET', '/status'): functools.partial(show_status, balancer),
             ('GET', '/metrics'): functools.partial(show_metrics, balancer),
         }
@@ -196,7 +199,7 @@
             functools.partial(take_message, balancer),
         )
         nursery.start_soon(run_ticks, balancer)
-        nursery.start_soon(follow_tables, client, options, balancer.tables, log)
+        nursery.start_soon(follow_tables, client, feed)
         log.info('balancer started')
         await serve_http(app, options.http_address, stopping)
         log.info('balancer stopped')
--- /dev/null
+++ b/src/mustardhold/daemons/control_pages.py
@@ -0,0 +1,66 @@
+"""Pages on which a control replica shows its tables and itself."""
+
+from mustardhold.adapters.http_app import Ask, Reply, json_reply
+from mustardhold.daemons.replica_node import (
+    ReplicaNode,
+    counters_of,
+    is_leading,
+)
+from mustardhold.daemons.table_pages import (
+    asked_version,
+    balancers_seen,
+    wait_newer,
+)
+from mustardhold.systems.replica_membership import is_stranger
+from mustardhold.tables.routing import Accepted
+from mustardhold.tables.status import ControlStatus, EditExplanation
+
+
+async def show_table(node: ReplicaNode, ask: Ask) -> Reply:
+    """Answer with the whole table, once it is newer than the asker's."""
+    if 'after' in ask.query:
+        await wait_newer(node.watch, asked_version(ask))
+    return json_reply(node.replica.edits.table)
+
+
+async def show_status(node: ReplicaNode, _: Ask) -> Reply:
+    """Handle a question for the replica's status."""
+    replica = node.replica
+    leader = replica.leader
+    return json_reply(
+        ControlStatus(
+            node.options.instance_id,
+            node.options.data_centre,
+            replica.edits.table,
+            len(replica.log),
+            replica.me.uid,
+            replica.role,
+            replica.vote.term,
+            leader.instance_id if leader else None,
+            is_leading(node),
+            replica.commit_index,
+            replica.snapshot.index,
+            replica.members,
+            is_stranger(replica),
+            balancers_seen(node.watch),
+            dict(counters_of(node)),
+        )
+    )
+
+
+async def show_explanation(node: ReplicaNode, ask: Ask) -> Reply:
+    """Explain an edit: its outcome, who took it, and where it is in force."""
+    edit_id = ask.query.get('edit', '')
+    record = node.replica.edits.records_by_edit_id.get(edit_id)
+    explanation = EditExplanation(edit_id, node.options.instance_id, record)
+    if record is not None and isinstance(record.outcome, Accepted):
+        version = record.outcome.version
+        seen = balancers_seen(node.watch)
+        explanation = EditExplanation(
+            edit_id,
+            node.options.instance_id,
+            record,
+            tuple(name for name, one in seen.items() if one.version >= version),
+            tuple(name for name, one in seen.items() if one.version < version),
+        )
+    return json_reply(explanation)
--- a/src/mustardhold/daemons/operator.py
+++ b/src/mustardhold/daemons/operator.py
@@ -3,6 +3,7 @@
 import itertools
 import uuid
 from collections.abc import Sequence
+from urllib.parse import urlencode
 
 import httpx
 import msgspec
@@ -12,13 +13,22 @@
     Edit,
     EditOutcome,
     EntryKind,
+    NoQuorum,
+    Overloaded,
     Pool,
     RepeatedEdit,
     Route,
     RoutingTable,
+    Unknown,
+)
+from mustardhold.tables.status import (
+    BalancerSeen,
+    ControlStatus,
+    EditExplanation,
 )
 
 TIMEOUT_SECONDS = 5
+TRIES = 6
 
 AnyOutcome = EditOutcome | RepeatedEdit
 
@@ -71,19 +81,131 @@
 
 
 def send_edit(
-    addresses: Sequence[str], edit: Edit, tries: int = 3
+    addresses: Sequence[str], edit: Edit, tries: int = TRIES
 ) -> Outcome[AnyOutcome, str]:
-    """Send an edit, and again under the same id after a lost answer."""
-    reason = 'no control address'
+    """Send an edit, and again under the same id until an answer is certain.
+
+    Returns
+    -------
+    Outcome
+        What a replica answered; unknown where one of the tries may have been
+        kept, and the reason where no replica was reached at all.
+    """
+    reasons: list[str] = []
+    latest: AnyOutcome | None = None
     for address in itertools.islice(itertools.cycle(addresses), tries):
+        sent = post_edit(address, edit)
+        if isinstance(sent, Err):
+            reasons.append(f'{address}: {sent.error}')
+            continue
+        if is_certain(sent.value):
+            return sent
+        latest = more_cautious(latest, sent.value)
+    if latest is not None:
+        return Ok(latest)
+    return Err('; '.join(reasons) or 'no control address')
+
+
+def post_edit(address: str, edit: Edit) -> Outcome[AnyOutcome, str]:
+    """Send an edit to one replica."""
+    try:
+        reply = httpx.post(
+            f'http://{address}/edits',
+            content=msgspec.json.encode(edit),
+            timeout=TIMEOUT_SECONDS,
+        )
+    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        return Err(str(error))
+    except httpx.HTTPError:
+        return Ok(Unknown())
+    try:
+        return Ok(msgspec.json.decode(reply.content, type=AnyOutcome))
+    except msgspec.DecodeError:
+        return Ok(Unknown())
+
+
+def is_certain(outcome: AnyOutcome) -> bool:
+    """Tell whether another replica would answer the same."""
+    return not isinstance(outcome, NoQuorum | Overloaded | Unknown)
+
+
+def more_cautious(
+    earlier: AnyOutcome | None, outcome: AnyOutcome
+) -> AnyOutcome:
+    """Keep the outcome that promises less: an edit may have been kept."""
+    return earlier if isinstance(earlier, Unknown) else outcome
+
+
+def replace_replica(
+    addresses: Sequence[str], instance_id: str
+) -> Outcome[bytes, str]:
+    """Ask to take in the new folder of a replica that lost its disk."""
+    reasons = []
+    for address in addresses:
         try:
             reply = httpx.post(
-                f'http://{address}/edits',
-                content=msgspec.json.encode(edit),
+                f'http://{address}/replicas',
+                params={'replace': instance_id},
                 timeout=TIMEOUT_SECONDS,
             )
         except httpx.HTTPError as error:
-            reason = f'{address}: {error}'
-        else:
-            return Ok(msgspec.json.decode(reply.content, type=AnyOutcome))
-    return Err(reason)
+            reasons.append(f'{address}: {error}')
+            continue
+        if reply.is_success:
+            return Ok(reply.content)
+        reasons.append(f'{address}: {reply.text}')
+    return Err('; '.join(reasons))
+
+
+def fetch_all(addresses: Sequence[str], path: str) -> list[bytes]:
+    """Get a page from every address that answers."""
+    pages = [fetch([address], path) for address in addresses]
+    return [page.value for page in pages if isinstance(page, Ok)]
+
+
+def fetch_control_status(addresses: Sequence[str]) -> list[ControlStatus]:
+    """Get the status of every control replica that answers."""
+    return [
+        msgspec.json.decode(page, type=ControlStatus)
+        for page in fetch_all(addresses, '/status')
+    ]
+
+
+def fetch_balancers(addresses: Sequence[str]) -> dict[str, BalancerSeen]:
+    """Get each balancer's version and lag, as its latest poll told them."""
+    latest: dict[str, BalancerSeen] = {}
+    for status in fetch_control_status(addresses):
+        for balancer, seen in status.balancers.items():
+            known = latest.get(balancer)
+            if known is None or seen.seen_at > known.seen_at:
+                latest[balancer] = seen
+    return latest
+
+
+def explain_edit(
+    addresses: Sequence[str], edit_id: str
+) -> Outcome[EditExplanation, str]:
+    """Find who took an edit, when, in which term, and where it is in force.
+
+    Returns
+    -------
+    Outcome
+        One explanation over all replicas; the reason where none answers.
+    """
+    path = f'/explain?{urlencode({"edit": edit_id})}'
+    found = [
+        msgspec.json.decode(page, type=EditExplanation)
+        for page in fetch_all(addresses, path)
+    ]
+    if not found:
+        return Err('no control replica answers')
+    known = next((one for one in found if one.record is not None), found[0])
+    in_force = {name for one in found for name in one.in_force}
+    behind = {name for one in found for name in one.not_in_force}
+    return Ok(
+        msgspec.structs.replace(
+            known,
+            in_force=tuple(sorted(in_force)),
+            not_in_force=tuple(sorted(behind - in_force)),
+        )
+    )
--- /dev/null
+++ b/src/mustardhold/daemons/replica_node.py
@@ -0,0 +1,173 @@
+"""One control replica with its disk, its links and its waiting edits."""
+
+import logging
+import random
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.disk import FolderDisk, close_folder, open_folder
+from mustardhold.adapters.replica_store import (
+    ReplicaStore,
+    open_identity,
+    open_store,
+    save_effects,
+)
+from mustardhold.daemons.replica_links import Links, send_message
+from mustardhold.daemons.table_pages import TableWatch, wake_watchers
+from mustardhold.systems import consensus
+from mustardhold.systems.election import has_lease, hears_leader
+from mustardhold.tables.consensus import (
+    AppliedEdit,
+    Effects,
+    Replica,
+    ReplicaMember,
+    Role,
+)
+from mustardhold.tables.constants import REPLICA_TICK
+from mustardhold.tables.options import ControlOptions
+from mustardhold.tables.routing import EditOutcome, RepeatedEdit, Unknown
+
+AnyOutcome = EditOutcome | RepeatedEdit
+
+
+@dataclass(slots=True)
+class WaitingEdit:
+    """An edit of this leader that is not committed yet."""
+
+    term: int
+    done: trio.Event = field(default_factory=trio.Event)
+    outcome: AnyOutcome = field(default_factory=Unknown)
+
+
+@dataclass(slots=True)
+class ReplicaNode:
+    """A running control replica.
+
+    Attributes
+    ----------
+    failure
+        Why the folder can no longer be written; nothing goes on after it.
+    """
+
+    options: ControlOptions
+    disk: FolderDisk
+    store: ReplicaStore
+    replica: Replica
+    watch: TableWatch
+    clock: Clock
+    log: logging.Logger
+    stopping: trio.Event
+    links: Links | None = None
+    waiting_by_index: dict[int, WaitingEdit] = field(default_factory=dict)
+    failure: OSError | None = None
+    shown_role: tuple[Role, int] = (Role.FOLLOWER, 0)
+
+
+def make_node(
+    options: ControlOptions, clock: Clock, log: logging.Logger
+) -> ReplicaNode:
+    """Open a replica's folder and rebuild its state."""
+    disk = open_folder(Path(options.folder))
+    instance_id = options.instance_id
+    identity = open_identity(disk, instance_id, f'{instance_id}/{uuid.uuid4()}')
+    store, saved = open_store(disk)
+    me = ReplicaMember(identity.uid, instance_id, options.http_address)
+    peers = tuple(
+        ReplicaMember('', peer.instance_id, peer.http_address)
+        for peer in options.replicas
+    )
+    replica = consensus.make_replica(
+        me, peers or (me,), random.random, clock.monotonic()
+    )
+    consensus.restore_replica(replica, saved.vote, saved.snapshot, saved.log)
+    watch = TableWatch(
+        lambda: replica.edits.table,
+        lambda: hears_leader(replica, clock.monotonic()),
+        clock,
+    )
+    return ReplicaNode(
+        options, disk, store, replica, watch, clock, log, trio.Event()
+    )
+
+
+def close_node(node: ReplicaNode) -> None:
+    """Release the folder."""
+    close_folder(node.disk)
+
+
+def follow_effects(node: ReplicaNode, effects: Effects) -> None:
+    """Save, send and answer, in this order.
+
+    Raises
+    ------
+    OSError
+        If the folder cannot be written; the process has to end.
+    """
+    if node.failure is not None:
+        raise node.failure
+    try:
+        save_effects(node.store, effects, node.replica.log)
+    except OSError as error:
+        node.failure = error
+        node.log.exception('data folder failed')
+        node.stopping.set()
+        raise
+    if node.links is not None:
+        for one in effects.sends:
+            send_message(node.links, one)
+    for applied in effects.applied:
+        finish_edit(node, applied)
+    if effects.applied or effects.snapshot is not None:
+        wake_watchers(node.watch)
+    log_role(node)
+
+
+def finish_edit(node: ReplicaNode, applied: AppliedEdit) -> None:
+    """Hand an edit's outcome to whoever waits for it."""
+    waiting = node.waiting_by_index.pop(applied.index, None)
+    if waiting is None:
+        return
+    if waiting.term == applied.term:
+        waiting.outcome = applied.outcome
+    waiting.done.set()
+
+
+def log_role(node: ReplicaNode) -> None:
+    """Log that a replica began or ceased to lead."""
+    shown = (node.replica.role, node.replica.vote.term)
+    if shown == node.shown_role:
+        return
+    led_before = node.shown_role[0] is Role.LEADER
+    node.shown_role = shown
+    if led_before or shown[0] is Role.LEADER:
+        node.log.info(
+            'leadership changed', extra={'role': shown[0], 'term': shown[1]}
+        )
+
+
+async def run_replica(node: ReplicaNode) -> None:
+    """Let a replica act on the time, until its folder fails."""
+    while True:
+        now = node.clock.monotonic()
+        try:
+            follow_effects(node, consensus.tick(node.replica, now))
+        except OSError:
+            return
+        await trio.sleep(REPLICA_TICK.total_seconds())
+
+
+def is_leading(node: ReplicaNode) -> bool:
+    """Tell whether the replica leads a majority now."""
+    return has_lease(node.replica, node.clock.monotonic())
+
+
+def counters_of(node: ReplicaNode) -> Mapping[str, int]:
+    """Return the counters by ``"subject/event"``."""
+    return {
+        '/'.join(key): count for key, count in node.replica.counters.items()
+    }
--- a/src/mustardhold/daemons/table_feed.py
+++ b/src/mustardhold/daemons/table_feed.py
@@ -1,50 +1,138 @@
-"""Follows the routing table by long polls of the control replicas."""
+"""Follows the tables of the control replicas, or of other balancers."""
 
 import itertools
 import logging
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
 
 import httpx
 import msgspec
 import trio
 
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.disk import FolderDisk, open_folder
+from mustardhold.adapters.table_store import load_table, save_table
+from mustardhold.daemons.table_pages import TableWatch, wake_watchers
 from mustardhold.systems.routing import install_table
+from mustardhold.systems.table_changes import apply_changes
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.constants import LONG_POLL
+from mustardhold.tables.constants import (
+    TABLE_POLL,
+    TABLE_POLL_MARGIN,
+    TABLE_POLL_RETRY,
+)
 from mustardhold.tables.options import BalancerOptions
-from mustardhold.tables.routing import RoutingTable
+from mustardhold.tables.routing import RoutingTable, TableChanges
 
-RETRY_SECONDS = 0.3
-MARGIN_SECONDS = 2
+POLL_TIMEOUT = (TABLE_POLL + TABLE_POLL_MARGIN).total_seconds()
 
+_decoder = msgspec.json.Decoder(TableChanges)
 
-async def follow_tables(
-    client: httpx.AsyncClient,
+
+@dataclass(slots=True)
+class TableFeed:
+    """Where a balancer takes its tables from, and where it keeps them.
+
+    Attributes
+    ----------
+    is_current
+        Whether the latest source hears a leader.
+    """
+
+    options: BalancerOptions
+    tables: BalancerTables
+    watch: TableWatch
+    disk: FolderDisk | None
+    log: logging.Logger
+    is_current: bool = False
+
+
+def make_feed(
     options: BalancerOptions,
     tables: BalancerTables,
+    clock: Clock,
     log: logging.Logger,
-) -> None:
-    """Put each newer table in force, asking the replicas in turn."""
-    for address in itertools.cycle(options.control_addresses):
-        try:
-            while True:
-                table = await poll_table(
-                    client, address, tables.routing.version
-                )
-                if install_table(tables, table):
-                    log.info('table in force', extra={'version': table.version})
-        except (httpx.HTTPError, msgspec.DecodeError):
-            tables.counters['', 'table-poll-failed'] += 1
-        await trio.sleep(RETRY_SECONDS)
-
-
-async def poll_table(
-    client: httpx.AsyncClient, address: str, version: int
-) -> RoutingTable:
-    """Wait for a table newer than a version, as long as one poll lasts."""
+) -> TableFeed:
+    """Make a feed that starts with the last table on disk."""
+    disk = open_folder(Path(options.folder)) if options.folder else None
+    watch = TableWatch(lambda: tables.routing, lambda: feed.is_current, clock)
+    feed = TableFeed(options, tables, watch, disk, log)
+    table = None if disk is None else load_table(disk)
+    if table is not None and install_table(tables, table):
+        log.info('table from disk', extra={'version': table.version})
+    return feed
+
+
+def sources(feed: TableFeed) -> Iterator[str]:
+    """Yield addresses to ask, control replicas before other balancers.
+
+    A balancer starts at a replica that its name chooses, so that the
+    balancers spread over all of them.
+    """
+    controls = feed.options.control_addresses
+    first = sum(feed.options.instance_id.encode()) % max(len(controls), 1)
+    ordered = controls[first:] + controls[:first]
+    return itertools.cycle((*ordered, *feed.options.table_peers))
+
+
+async def follow_tables(client: httpx.AsyncClient, feed: TableFeed) -> None:
+    """Put each newer table in force, from the first source that has it."""
+    for address in sources(feed):
+        while await follow_once(client, feed, address):
+            if address in feed.options.table_peers:
+                break
+        await trio.sleep(TABLE_POLL_RETRY.total_seconds())
+
+
+async def follow_once(
+    client: httpx.AsyncClient, feed: TableFeed, address: str
+) -> bool:
+    """Poll a source once.
+
+    Returns
+    -------
+    bool
+        Whether the source is worth another poll.
+    """
+    version = feed.tables.routing.version
+    try:
+        changes = await poll_changes(
+            client, address, version, feed.options.instance_id
+        )
+    except (httpx.HTTPError, msgspec.DecodeError):
+        feed.tables.counters['', 'table-poll-failed'] += 1
+        feed.is_current = False
+        return False
+    feed.is_current = changes.is_current
+    table = apply_changes(feed.tables.routing, changes)
+    if table is not None:
+        await take_table(feed, table)
+    return changes.is_current
+
+
+async def take_table(feed: TableFeed, table: RoutingTable) -> None:
+    """Put a newer table in force, then keep it on disk."""
+    if not install_table(feed.tables, table):
+        return
+    wake_watchers(feed.watch)
+    feed.log.info('table in force', extra={'version': table.version})
+    if feed.disk is None:
+        return
+    try:
+        await trio.to_thread.run_sync(save_table, feed.disk, table)
+    except OSError:
+        feed.tables.counters['', 'table-save-failed'] += 1
+
+
+async def poll_changes(
+    client: httpx.AsyncClient, address: str, version: int, balancer: str
+) -> TableChanges:
+    """Ask a source for what changed after a version."""
     reply = await client.get(
-        f'http://{address}/table',
-        params={'after': version},
-        timeout=LONG_POLL.total_seconds() + MARGIN_SECONDS,
+        f'http://{address}/changes',
+        params={'after': version, 'balancer': balancer},
+        timeout=POLL_TIMEOUT,
     )
     reply.raise_for_status()
-    return msgspec.json.decode(reply.content, type=RoutingTable)
+    return _decoder.decode(reply.content)
--- /dev/null
+++ b/src/mustardhold/daemons/table_pages.py
@@ -0,0 +1,140 @@
+"""Serves the tables to balancers, as changes since what they have."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import msgspec
+import trio
+
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.http_app import Ask, Reply
+from mustardhold.systems.table_changes import changes_since
+from mustardhold.tables.constants import (
+    BALANCER_SEEN_LIFETIME,
+    MAX_BALANCERS_SEEN,
+    MAX_CACHED_CHANGES,
+    TABLE_POLL,
+)
+from mustardhold.tables.routing import RoutingTable
+from mustardhold.tables.status import BalancerSeen
+
+CHECK_SECONDS = 0.25
+ANY_VERSION = '-1'
+
+
+@dataclass(slots=True)
+class TableWatch:
+    """Who waits for the next table, and who has which one.
+
+    Attributes
+    ----------
+    table
+        Returns the table in force.
+    is_current
+        Tells whether this process would know of newer tables.
+    replies_by_versions
+        Encoded changes by the versions that they lie between.
+    changed_at
+        Time of day of the latest change, in seconds since 1970 in UTC.
+    """
+
+    table: Callable[[], RoutingTable]
+    is_current: Callable[[], bool]
+    clock: Clock
+    changed: trio.Event = field(default_factory=trio.Event)
+    changed_at: float = 0
+    seen_by_balancer: dict[str, BalancerSeen] = field(default_factory=dict)
+    replies_by_versions: dict[tuple[int, int, bool], bytes] = field(
+        default_factory=dict
+    )
+    refused: int = 0
+
+
+def wake_watchers(watch: TableWatch) -> None:
+    """Answer everyone who waits for a newer table."""
+    watch.replies_by_versions.clear()
+    watch.changed_at = watch.clock.now().timestamp()
+    watch.changed.set()
+    watch.changed = trio.Event()
+
+
+async def wait_newer(watch: TableWatch, version: int) -> None:
+    """Wait for a newer table, as long as one poll lasts."""
+    with trio.move_on_after(TABLE_POLL.total_seconds()):
+        while watch.table().version <= version and watch.is_current():
+            with trio.move_on_after(CHECK_SECONDS):
+                await watch.changed.wait()
+
+
+async def show_changes(watch: TableWatch, ask: Ask) -> Reply:
+    """Answer with the changes since what the asking balancer has."""
+    after = asked_version(ask)
+    note_balancer(watch, ask.query.get('balancer', ''), after)
+    await wait_newer(watch, after)
+    return Reply(HTTPStatus.OK, encoded_changes(watch, after))
+
+
+def asked_version(ask: Ask) -> int:
+    """Read which version the asker has."""
+    text = ask.query.get('after', ANY_VERSION)
+    return msgspec.convert(text, int, strict=False)
+
+
+def encoded_changes(watch: TableWatch, after: int) -> bytes:
+    """Encode changes once for all that have the same version."""
+    table = watch.table()
+    key = (max(after, 0), table.version, watch.is_current())
+    encoded = watch.replies_by_versions.get(key)
+    if encoded is None:
+        changes = msgspec.structs.replace(
+            changes_since(table, key[0]), is_current=key[2]
+        )
+        encoded = msgspec.json.encode(changes)
+        if len(watch.replies_by_versions) >= MAX_CACHED_CHANGES:
+            watch.replies_by_versions.clear()
+        watch.replies_by_versions[key] = encoded
+    return encoded
+
+
+def note_balancer(watch: TableWatch, balancer: str, version: int) -> None:
+    """Remember the version that a balancer has in force."""
+    if not balancer:
+        return
+    now = watch.clock.now().timestamp()
+    seen = watch.seen_by_balancer
+    if balancer not in seen and len(seen) >= MAX_BALANCERS_SEEN:
+        forget_silent(watch, now)
+    if balancer not in seen and len(seen) >= MAX_BALANCERS_SEEN:
+        watch.refused += 1
+        return
+    seen[balancer] = BalancerSeen(max(version, 0), now)
+
+
+def forget_silent(watch: TableWatch, now: float) -> None:
+    """Forget balancers that have not polled for long."""
+    oldest = now - BALANCER_SEEN_LIFETIME.total_seconds()
+    silent = [
+        balancer
+        for balancer, seen in watch.seen_by_balancer.items()
+        if seen.seen_at < oldest
+    ]
+    for balancer in silent:
+        watch.seen_by_balancer.pop(balancer)
+
+
+def balancers_seen(watch: TableWatch) -> dict[str, BalancerSeen]:
+    """Return each balancer's version, and how far it is behind."""
+    now = watch.clock.now().timestamp()
+    forget_silent(watch, now)
+    version = watch.table().version
+    return {
+        balancer: msgspec.structs.replace(
+            seen,
+            lag=max(version - seen.version, 0),
+            behind_seconds=(
+                now - watch.changed_at if seen.version < version else 0
+            ),
+        )
+        for balancer, seen in watch.seen_by_balancer.items()
+    }
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 
-from mustardhold.systems.edits import copy_state, find_lasting_faults
-from mustardhold.systems.edits import first_outcome
+from mustardhold.systems.edits import (
+    copy_state,
+    find_lasting_faults,
+    first_outcome,
+)
 from mustardhold.systems.election import (
     check_quorum,
     has_lease,
@@ -117,9 +120,7 @@
     find_members(replica)
 
 
-def step(
-    replica: Replica, now: float, message: ReplicaMessage
-) -> Effects:
+def step(replica: Replica, now: float, message: ReplicaMessage) -> Effects:
     """Act on a message of another replica."""
     effects = Effects()
     match message:
--- a/src/mustardhold/systems/replica_log.py
+++ b/src/mustardhold/systems/replica_log.py
@@ -65,9 +65,7 @@
             replica.members_index = entry.index
 
 
-def drop_entries_after(
-    replica: Replica, index: int, effects: Effects
-) -> None:
+def drop_entries_after(replica: Replica, index: int, effects: Effects) -> None:
     """Drop the entries above an index, which were never committed.
 
     Raises
--- a/src/mustardhold/tables/consensus.py
+++ b/src/mustardhold/tables/consensus.py
@@ -184,7 +184,8 @@
     message: ReplicaMessage
 
 
-class AppliedEdit(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class AppliedEdit:
     """What an edit at an index of the log came to."""
 
     index: int
@@ -279,14 +280,16 @@
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
 
 
-class Pending(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Pending:
     """Where in the log an edit waits for its commit."""
 
     index: int
     term: int
 
 
-class NotLeader(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class NotLeader:
     """Only the leader takes edits."""
 
     leader: ReplicaMember | None
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -37,3 +37,15 @@
 HELLO_INTERVAL: Final = timedelta(milliseconds=500)
 HELLO_LIFETIME: Final = timedelta(seconds=3)
 SNAPSHOT_RETRY: Final = timedelta(seconds=5)
+TABLE_POLL: Final = timedelta(milliseconds=1_500)
+TABLE_POLL_MARGIN: Final = timedelta(milliseconds=800)
+TABLE_POLL_RETRY: Final = timedelta(milliseconds=200)
+BALANCER_SEEN_LIFETIME: Final = timedelta(minutes=10)
+MAX_BALANCERS_SEEN: Final = 12_000
+MAX_CACHED_CHANGES: Final = 64
+REPLICA_TICK: Final = timedelta(milliseconds=50)
+REPLICA_TIMEOUT: Final = timedelta(milliseconds=400)
+SNAPSHOT_TIMEOUT: Final = timedelta(seconds=10)
+EDIT_TIMEOUT: Final = timedelta(seconds=3)
+MAX_LINK_MESSAGES: Final = 64
+MAX_REPLICA_BODY_BYTES: Final = 67_108_864
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -22,6 +22,9 @@
         Balancers over which one fabric sprays, this one included.
     folder
         Where the last table is kept; none on an instance without a disk.
+    table_peers
+        HTTP addresses of balancers that give the tables while no control
+        replica does.
     """
 
     instance_id: str
@@ -32,9 +35,10 @@
     control_addresses: tuple[str, ...]
     group: tuple[Member, ...]
     folder: str | None = None
+    table_peers: tuple[str, ...] = ()
 
 
-class Replica(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ReplicaOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A control replica and the address of its HTTP server."""
 
     instance_id: str
@@ -50,11 +54,11 @@
     folder
         Data folder; it belongs to this replica alone.
     replicas
-        All control replicas, this one included.
+        All control replicas, this one included; none for a single one.
     """
 
     instance_id: str
     data_centre: str
     http_address: str
     folder: str
-    replicas: tuple[Replica, ...]
+    replicas: tuple[ReplicaOptions, ...]
--- a/src/mustardhold/tables/routing.py
+++ b/src/mustardhold/tables/routing.py
@@ -71,6 +71,28 @@
     return RoutingTable(0, {}, {}, {})
 
 
+class TableChanges(msgspec.Struct, frozen=True):
+    """What turns one version of both tables into a later one.
+
+    Attributes
+    ----------
+    since
+        Version that the changes apply to; 0 for the whole table.
+    entry_versions
+        Versions of the changed entries; one that is in neither table was
+        deleted.
+    is_current
+        Whether the sender hears a leader, and so would know of newer tables.
+    """
+
+    since: int
+    version: int
+    routes: tuple[Route, ...]
+    pools: tuple[Pool, ...]
+    entry_versions: dict[str, int]
+    is_current: bool = True
+
+
 class Edit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A change of one entry, as an operator sends it.
 
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,127 @@
+"""Control replicas as separate processes, killed, frozen and wiped."""
+
+import shutil
+import signal
+
+import httpx
+import msgspec
+import pytest
+
+from mustardhold.tables.status import EditExplanation
+from tools import control_processes as control
+from tools import processes
+
+
+@pytest.fixture
+def running(tmp_path):
+    fleet = processes.Fleet(tmp_path)
+    try:
+        yield control.start_controls(fleet, 3)
+    finally:
+        for process in fleet.processes_by_name.values():
+            process.send_signal(signal.SIGCONT)
+        processes.stop_all(fleet)
+
+
+def put_many(running, first, count):
+    """Put pools one after another; return their versions by edit id."""
+    return {
+        f'e{number}': control.put_pool(running, f'e{number}', f'p{number}', 0)
+        for number in range(first, first + count)
+    }
+
+
+def holds_all(running, name, accepted):
+    table = control.table_at(running, name)
+    held = table.pools_by_name if table is not None else {}
+    return all(
+        f'p{edit_id[1:]}' in held
+        and held[f'p{edit_id[1:]}'].drained == (edit_id,)
+        and table.entry_versions[f'pool/p{edit_id[1:]}'] == version
+        for edit_id, version in accepted.items()
+    )
+
+
+def test_killed_and_frozen_leaders_lose_no_accepted_edit(running):
+    accepted = put_many(running, 0, 5)
+    killed = control.leader_of(running)
+    control.kill_process(running, killed)
+    accepted.update(put_many(running, 5, 5))
+    control.start_control(running, killed)
+    control.wait_for(
+        lambda: holds_all(running, killed, accepted), 'the killed replica'
+    )
+    frozen = control.leader_of(running)
+    control.signal_process(running, frozen, signal.SIGSTOP)
+    accepted.update(put_many(running, 10, 3))
+    control.signal_process(running, frozen, signal.SIGCONT)
+    accepted.update(put_many(running, 13, 2))
+    assert None not in accepted.values()
+    for name in running.settings_by_name:
+        control.wait_for(
+            lambda name=name: holds_all(running, name, accepted), name
+        )
+
+
+def test_wiped_replica_is_refused_then_replaced(running):
+    accepted = put_many(running, 0, 3)
+    wiped = control.leader_of(running)
+    control.kill_process(running, wiped)
+    shutil.rmtree(running.fleet.folder / wiped)
+    control.start_control(running, wiped)
+    accepted.update(put_many(running, 3, 2))
+    control.wait_for(
+        lambda: (
+            (status := control.status_at(running, wiped)) is not None
+            and status.is_refused
+        ),
+        'the refusal',
+    )
+    address = running.address_by_name[control.leader_of(running)]
+    reply = httpx.post(f'http://{address}/replicas', params={'replace': wiped})
+    assert reply.status_code == httpx.codes.ACCEPTED
+    control.wait_for(lambda: is_voter(running, wiped), 'the replica as a voter')
+    second = next(name for name in running.settings_by_name if name != wiped)
+    control.kill_process(running, second)
+    accepted.update(put_many(running, 5, 2))
+    assert None not in accepted.values()
+    control.wait_for(lambda: holds_all(running, wiped, accepted), 'the edits')
+
+
+def is_voter(running, name):
+    status = control.status_at(running, name)
+    return any(
+        member.uid == status.replica_uid and member.is_voter
+        for member in status.members
+    )
+
+
+def test_balancers_follow_and_serve_without_control(running):
+    control.start_balancer(running, 'b1')
+    first = running.address_by_name['b1']
+    version = control.put_pool(running, 'e0', 'p0', 0)
+    control.wait_for(
+        lambda: control.version_at(running, 'b1') == version, 'the table'
+    )
+    address = running.controls()[0]
+    control.wait_for(
+        lambda: any(
+            'b1' in control.status_at(running, name).balancers
+            for name in running.settings_by_name
+        ),
+        'the balancer in a status',
+    )
+    reply = httpx.get(f'http://{address}/explain', params={'edit': 'e0'})
+    explained = msgspec.json.decode(reply.content, type=EditExplanation)
+    assert explained.record.origin.leader_id in running.settings_by_name
+    for name in running.settings_by_name:
+        control.kill_process(running, name)
+    control.start_balancer(running, 'b2', (first,))
+    control.wait_for(
+        lambda: control.version_at(running, 'b2') == version,
+        'the table from a peer',
+    )
+    control.kill_process(running, 'b1')
+    control.kill_process(running, 'b2')
+    control.start_balancer(running, 'b1')
+    assert control.version_at(running, 'b1') == version
--- /dev/null
+++ b/tests/test_control_store.py
@@ -0,0 +1,106 @@
+"""A replica's folder keeps what was saved, or is refused."""
+
+import random
+
+import pytest
+
+from mustardhold.adapters.disk import (
+    FolderInUseError,
+    close_folder,
+    open_folder,
+)
+from mustardhold.adapters.records import DamagedFileError
+from mustardhold.adapters.replica_store import (
+    LOG_NAME,
+    ForeignFolderError,
+    open_identity,
+    open_store,
+    save_effects,
+)
+from mustardhold.systems import consensus
+from mustardhold.tables.consensus import Pending, ReplicaMember
+from mustardhold.tables.routing import Edit, EntryKind, Pool
+from tools.fakes.disks import FakeDisk, crash
+
+
+def run_single(disk, edits):
+    """Run a replica of its own over some edits; return it."""
+    me = ReplicaMember('c1/1', 'c1', 'c1')
+    replica = consensus.make_replica(me, (me,), random.Random(1).random, 0)
+    store, saved = open_store(disk)
+    consensus.restore_replica(replica, saved.vote, saved.snapshot, saved.log)
+    for now in (0, 3, 3.1):
+        save_effects(store, consensus.tick(replica, now), replica.log)
+    first = replica.edits.table.version
+    for version in range(first, first + edits):
+        edit = Edit(f'e{version}', EntryKind.POOL, 'p', version, pool=Pool('p'))
+        proposed, effects = consensus.propose_edit(replica, 3.1, edit, 0)
+        assert isinstance(proposed, Pending)
+        save_effects(store, effects, replica.log)
+    return replica
+
+
+def edit_ids(replica):
+    return list(replica.edits.records_by_edit_id)
+
+
+@pytest.mark.parametrize('edits', [1, 30, 2500])
+def test_edits_survive_a_crash(edits):
+    disk = FakeDisk(random.Random(edits))
+    before = run_single(disk, edits)
+    crash(disk)
+    after = run_single(disk, 1)
+    assert edit_ids(after)[:-1] == edit_ids(before)
+
+
+@pytest.mark.parametrize('cut', [1, 3, 20])
+def test_torn_tail_is_cut(tmp_path, cut):
+    disk = open_folder(tmp_path)
+    before = run_single(disk, 3)
+    path = tmp_path / LOG_NAME
+    path.write_bytes(path.read_bytes()[:-cut])
+    _, saved = open_store(disk)
+    assert saved.log == before.log[:-1]
+    close_folder(disk)
+
+
+@pytest.mark.parametrize('place', range(0, 400, 7))
+def test_damaged_middle_is_refused(place):
+    disk = FakeDisk(random.Random(1))
+    run_single(disk, 9)
+    disk.files_by_name[LOG_NAME].content[place] ^= 1
+    with pytest.raises(DamagedFileError):
+        open_store(disk)
+
+
+@pytest.mark.parametrize('name', ['log', 'vote', 'snapshot'])
+def test_missing_file_is_refused(name):
+    disk = FakeDisk(random.Random(1))
+    run_single(disk, 1_100)
+    del disk.files_by_name[name]
+    with pytest.raises(DamagedFileError):
+        open_store(disk)
+
+
+@pytest.mark.parametrize('operations', range(40))
+def test_kill_within_a_write_keeps_what_was_saved(operations):
+    disk = FakeDisk(random.Random(operations))
+    before = run_single(disk, 990)
+    disk.operations_left = operations
+    with pytest.raises(Exception, match='killed'):
+        run_single(disk, 30)
+    crash(disk)
+    after = run_single(disk, 1)
+    assert edit_ids(after)[:990] == edit_ids(before)
+
+
+def test_folder_has_one_process_and_one_owner(tmp_path):
+    disk = open_folder(tmp_path)
+    with pytest.raises(FolderInUseError):
+        open_folder(tmp_path)
+    open_identity(disk, 'c1', 'c1/1')
+    close_folder(disk)
+    disk = open_folder(tmp_path)
+    assert open_identity(disk, 'c1', 'c1/2').uid == 'c1/1'
+    with pytest.raises(ForeignFolderError):
+        open_identity(disk, 'c2', 'c2/1')
--- a/tools/fakes/linearizability.py
+++ b/tools/fakes/linearizability.py
@@ -37,6 +37,9 @@
     edit_id: str = ''
 
 
+DeadEnd = tuple[frozenset[str], EntryState]
+
+
 @dataclass(slots=True)
 class Search:
     """A search for an order of the calls of one entry.
@@ -50,7 +53,7 @@
     """
 
     unexplained: set[int]
-    dead: set[tuple[frozenset[str], EntryState]] = field(default_factory=set)
+    dead: set[DeadEnd] = field(default_factory=set)
 
 
 def find_order(calls: Sequence[Call]) -> list[str] | None:
--- a/tools/fakes/naive_control.py
+++ b/tools/fakes/naive_control.py
@@ -1,5 +1,6 @@
 """Control replicas without a quorum: the last write wins."""
 
+import functools
 from dataclasses import dataclass, field
 
 from mustardhold.systems.edits import changed_table
@@ -40,12 +41,13 @@
         table = group.tables_by_name[name]
         for other in names:
             if other != name:
-                send(network, name, other, lambda o=other: take(o, table))
+                take_there = functools.partial(take, other, table)
+                send(network, name, other, take_there)
 
     def take(name: str, table: RoutingTable) -> None:
         if table.version > group.tables_by_name[name].version:
             group.tables_by_name[name] = table
 
     for name in names:
-        schedule_every(queue, GOSSIP_SECONDS, lambda name=name: gossip(name))
+        schedule_every(queue, GOSSIP_SECONDS, functools.partial(gossip, name))
     return Service(queue, network, names, submit, group.tables_by_name.get)
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -1,5 +1,6 @@
 """Control replicas over a fake network and fake disks, on virtual time."""
 
+import functools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -105,7 +106,7 @@
     for name in names:
         start(group, name)
         schedule_every(
-            queue, TICK_SECONDS, lambda name=name: tick(group, name)
+            queue, TICK_SECONDS, functools.partial(tick, group, name)
         )
     return group
 
@@ -188,7 +189,8 @@
     node.backlog = []
 
     def thaw() -> None:
-        backlog, node.backlog = node.backlog or [], None
+        backlog = node.backlog or []
+        node.backlog = None
         for action in backlog:
             at_node(group, name, action)
 
