--- a/src/mustardhold/adapters/disk.py
+++ b/src/mustardhold/adapters/disk.py
@@ -35,7 +35,7 @@
         """Wait until the names of the files are durable."""
 
 
-class FolderInUseError(Exception):
+class FolderInUseError(OSError):
     """Another process holds the data folder."""
 
 
@@ -117,7 +117,7 @@
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError as error:
         os.close(lock)
-        raise FolderInUseError(str(folder)) from error
+        raise FolderInUseError(f'another process holds {folder}') from error
     return FolderDisk(folder, lock)
 
 
--- a/src/mustardhold/adapters/records.py
+++ b/src/mustardhold/adapters/records.py
@@ -14,13 +14,9 @@
 LENGTH = struct.Struct('!I')
 
 
-@dataclass(frozen=True, slots=True)
-class DamagedFileError(Exception):
+class DamagedFileError(OSError):
     """A file does not hold what was written to it."""
 
-    name: str
-    offset: int
-
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -71,7 +67,7 @@
         record = read_record(raw, offset)
         if record is None:
             if has_record_after(raw, offset + 1):
-                raise DamagedFileError(name, offset)
+                raise DamagedFileError(f'{name} is damaged at byte {offset}')
             return records
         records.append(record)
         offset = record.end
--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -47,7 +47,7 @@
     uid: str
 
 
-class ForeignFolderError(Exception):
+class ForeignFolderError(OSError):
     """The folder belongs to another replica."""
 
 
@@ -92,7 +92,9 @@
         return identity
     identity = msgspec.msgpack.decode(body, type=Identity)
     if identity.instance_id != instance_id:
-        raise ForeignFolderError(identity.instance_id)
+        raise ForeignFolderError(
+            f'the folder belongs to {identity.instance_id}'
+        )
     return identity
 
 
@@ -109,7 +111,7 @@
         return None
     record = read_record(raw, 0)
     if record is None or record.end != len(raw):
-        raise DamagedFileError(name, 0)
+        raise DamagedFileError(f'{name} is damaged')
     return record.body
 
 
@@ -140,7 +142,7 @@
     if log is not saved_log:
         rewrite_log(store, log)
     if log[-1].term > vote.term:
-        raise DamagedFileError(VOTE_NAME, 0)
+        raise DamagedFileError(f'{VOTE_NAME} is missing or too old')
     return store, SavedState(vote, snapshot, log)
 
 
@@ -158,7 +160,7 @@
         return empty_log()
     records = read_records(LOG_NAME, raw or b'')
     if not records:
-        raise DamagedFileError(LOG_NAME, 0)
+        raise DamagedFileError(f'{LOG_NAME} is missing or too old')
     log = load_log(store, records)
     if raw is not None and store.log_size < len(raw):
         store.disk.truncate(LOG_NAME, store.log_size)
@@ -181,7 +183,7 @@
         store.batch_ends.append((batch[-1].index, record.end))
         store.log_size = record.end
     if log and log[-1].index - log[0].index + 1 != len(log):
-        raise DamagedFileError(LOG_NAME, 0)
+        raise DamagedFileError(f'{LOG_NAME} is missing or too old')
     return log
 
 
@@ -194,7 +196,7 @@
         If entries are missing between the two.
     """
     if log[0].index > snapshot.index:
-        raise DamagedFileError(SNAPSHOT_NAME, 0)
+        raise DamagedFileError(f'{SNAPSHOT_NAME} is missing or too old')
     if log[-1].index >= snapshot.index:
         entry = log[snapshot.index - log[0].index]
         if entry.term == snapshot.term:
--- /dev/null
+++ b/src/mustardhold/commands/parser.py
@@ -0,0 +1,104 @@
+"""Arguments of the command line."""
+
+import argparse
+from pathlib import Path
+
+from mustardhold.tables.routing import Weighting
+
+EPILOG = """\
+examples:
+  mustardhold check balancer.yaml control.yaml
+  mustardhold balancer --settings balancer.yaml
+  mustardhold control --settings control.yaml
+  mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
+  mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
+  mustardhold status --at 127.0.0.1:7101 --at 127.0.0.1:7102
+  mustardhold explain 198.51.100.7:40000,10.20.0.2:443 --at 127.0.0.1:7101
+
+exit codes:
+  0  done
+  1  the fleet refused or could not be reached, or a program could not start
+  2  wrong usage, or settings with findings
+"""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        'mustardhold',
+        description='A layer-4 load balancer.',
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    for program in ('balancer', 'control'):
+        command = commands.add_parser(program, help=f'run a {program}')
+        command.add_argument('--settings', type=Path, required=True)
+    add_check(
+        commands.add_parser(
+            'check', help='check settings files, alone and as one fleet'
+        )
+    )
+    add_route(commands.add_parser('route', help='edit the routes'))
+    add_pool(commands.add_parser('pool', help='edit the pools'))
+    add_status(commands.add_parser('status', help='show the fleet'))
+    add_explain(
+        commands.add_parser('explain', help='tell what was decided and why')
+    )
+    return parser
+
+
+def add_status(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``status``."""
+    add_targets(command)
+    command.add_argument('--json', action='store_true', help='print JSON')
+
+
+def add_explain(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``explain``."""
+    command.add_argument(
+        'subject',
+        metavar='FLOW|REQUEST-ID|EDIT-ID',
+        help='a flow is its key in digits, or CALLER-ADDRESS,SERVICE-ADDRESS',
+    )
+    add_targets(command)
+
+
+def add_targets(command: argparse.ArgumentParser) -> None:
+    """Add the HTTP addresses of the processes to ask."""
+    command.add_argument(
+        '--at',
+        action='append',
+        required=True,
+        metavar='HTTP-ADDRESS',
+        help='a balancer or control replica; repeat for each',
+    )
+
+
+def add_check(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``check``."""
+    command.add_argument('files', type=Path, nargs='+', metavar='FILE')
+
+
+def add_entry_arguments(command: argparse.ArgumentParser) -> None:
+    """Add what edits of both tables take."""
+    command.add_argument('action', choices=('put', 'delete'))
+    command.add_argument('name')
+    command.add_argument('--control', action='append', required=True)
+    command.add_argument('--edit-id')
+
+
+def add_route(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``route``."""
+    add_entry_arguments(command)
+    command.add_argument('--address', action='append', default=[])
+
+
+def add_pool(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``pool``."""
+    add_entry_arguments(command)
+    command.add_argument('--server', action='append', default=[])
+    command.add_argument('--drain', action='append', default=[])
+    command.add_argument(
+        '--weighting', choices=list(Weighting), default=Weighting.AFFINITY
+    )
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import httpx
 import trio
 
 from mustardhold.adapters.clock import Clock
@@ -17,6 +18,7 @@
     open_store,
     save_effects,
 )
+from mustardhold.daemons.faults import Faults
 from mustardhold.daemons.replica_links import Links, send_message
 from mustardhold.daemons.table_pages import TableWatch, wake_watchers
 from mustardhold.systems import consensus
@@ -29,6 +31,7 @@
     Role,
 )
 from mustardhold.tables.constants import REPLICA_TICK
+from mustardhold.tables.observations import Observations
 from mustardhold.tables.options import ControlOptions
 from mustardhold.tables.routing import EditOutcome, RepeatedEdit, Unknown
 
@@ -62,7 +65,10 @@
     clock: Clock
     log: logging.Logger
     stopping: trio.Event
+    client: httpx.AsyncClient
+    faults: Faults
     links: Links | None = None
+    observations: Observations = field(default_factory=Observations)
     waiting_by_index: dict[int, WaitingEdit] = field(default_factory=dict)
     failure: OSError | None = None
     shown_role: tuple[Role, int] = (Role.FOLLOWER, 0)
@@ -91,7 +97,16 @@
         clock,
     )
     return ReplicaNode(
-        options, disk, store, replica, watch, clock, log, trio.Event()
+        options,
+        disk,
+        store,
+        replica,
+        watch,
+        clock,
+        log,
+        trio.Event(),
+        httpx.AsyncClient(),
+        Faults(log, replica.counters),
     )
 
 
