--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -26,6 +26,9 @@
         Balancers over which one fabric sprays, this one included.
     folder
         Where the last table is kept; none on an instance without a disk.
+    table_peers
+        HTTP addresses of balancers that give the tables while no control
+        replica does.
     withdrawal
         How long the fabric may take to see that ``/ready`` fails and to
         send no further packets.
@@ -41,6 +44,7 @@
     control_addresses: tuple[Address, ...]
     group: tuple[Member, ...]
     folder: str | None = None
+    table_peers: tuple[Address, ...] = ()
     withdrawal: timedelta = WITHDRAWAL
     stop_bound: timedelta = STOP_BOUND
 
@@ -61,7 +65,7 @@
     folder
         Data folder; it belongs to this replica alone.
     replicas
-        All control replicas, this one included.
+        All control replicas, this one included; none for a single one.
     """
 
     instance_id: Name
--- a/tools/measurements/slopes.py
+++ b/tools/measurements/slopes.py
@@ -16,10 +16,11 @@
 from mustardhold.adapters.peer_codec import encode_message
 from mustardhold.systems.affinity import take_caller_packet
 from mustardhold.systems.announcements import take_announcement
-from mustardhold.systems.edits import EditState, apply_edit
+from mustardhold.systems.edits import apply_edit
 from mustardhold.systems.routing import install_table
 from mustardhold.tables.backends import BackendServer, BackendState
 from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.edits import EditState
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.packets import Open, Upload
 from mustardhold.tables.peers import BackendShared
