--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -15,7 +15,7 @@
 from mustardhold.daemons.packet_loop import run_packet_loop
 from mustardhold.daemons.sending import send_all
 from mustardhold.daemons.stopping import leave_on_signal
-from mustardhold.daemons.table_feed import follow_tables
+from mustardhold.daemons.table_feed import follow_tables, make_feed
 from mustardhold.systems.observing import (
     BATCH_PACKETS,
     expire_timers,
@@ -46,11 +46,12 @@
 ) -> None:
     """Run a balancer until it is told to stop."""
     balancer = make_balancer(options, clock, log)
-    app = make_balancer_app(balancer)
+    feed = make_feed(options, balancer.tables, clock, log)
+    app = make_balancer_app(balancer, feed.watch)
     async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
         nursery.start_soon(leave_on_signal, balancer)
         start_loops(balancer, nursery)
-        nursery.start_soon(follow_tables, client, options, balancer.tables, log)
+        nursery.start_soon(follow_tables, client, feed)
         log.info('balancer started')
         await serve_http(app, options.http_address, balancer.left)
         log.info('balancer stopped')
--- a/src/mustardhold/daemons/balancer_http.py
+++ b/src/mustardhold/daemons/balancer_http.py
@@ -8,6 +8,7 @@
 from mustardhold.adapters.http_app import (
     Application,
     Ask,
+    Handler,
     Reply,
     json_reply,
     make_app,
@@ -19,6 +20,7 @@
 from mustardhold.daemons.balancer_state import Balancer
 from mustardhold.daemons.faults import note_fault
 from mustardhold.daemons.sending import send_all
+from mustardhold.daemons.table_pages import TableWatch, show_changes
 from mustardhold.systems.announcement_checks import find_announcement_faults
 from mustardhold.systems.announcements import take_announced
 from mustardhold.systems.explaining import explain
@@ -118,7 +120,9 @@
     )
 
 
-def make_balancer_app(balancer: Balancer) -> Application:
+def make_balancer_app(
+    balancer: Balancer, watch: TableWatch | None = None
+) -> Application:
     """Make the application that a balancer serves."""
     handlers = {
         ('POST', '/announce'): take_announce,
@@ -127,11 +131,14 @@
         ('GET', '/metrics'): show_metrics,
         ('GET', '/explain'): show_explanation,
     }
+    pages: dict[tuple[str, str], Handler] = {
+        page: functools.partial(handler, balancer)
+        for page, handler in handlers.items()
+    }
+    if watch is not None:
+        pages['GET', '/changes'] = functools.partial(show_changes, watch)
     return make_app(
-        {
-            page: functools.partial(handler, balancer)
-            for page, handler in handlers.items()
-        },
+        pages,
         note_fault=functools.partial(
             note_fault, balancer.faults, 'http-failed'
         ),
