--- a/src/mustardhold/commands/edits.py
+++ b/src/mustardhold/commands/edits.py
@@ -2,7 +2,13 @@
 
 import argparse
 
-from mustardhold.commands.output import EXIT_FAILED, EXIT_OK, complain, say
+from mustardhold.commands.output import (
+    EXIT_FAILED,
+    EXIT_OK,
+    complain,
+    complain_all,
+    say,
+)
 from mustardhold.daemons.operator import (
     fetch_table,
     make_deletion,
@@ -12,8 +18,12 @@
 from mustardhold.tables.outcomes import Err
 from mustardhold.tables.routing import (
     Accepted,
+    Conflict,
+    Edit,
+    EditOutcome,
     EntryKind,
     Pool,
+    Refused,
     RepeatedEdit,
     Route,
     Weighting,
@@ -37,10 +47,30 @@
     if isinstance(sent, Err):
         complain(f'unknown: {sent.error}')
         return EXIT_FAILED
-    outcome = sent.value
-    say(outcome)
+    return report_outcome(edit, sent.value)
+
+
+def report_outcome(edit: Edit, outcome: EditOutcome | RepeatedEdit) -> int:
+    """Print what became of an edit, and choose the exit code."""
     first = outcome.first if isinstance(outcome, RepeatedEdit) else outcome
-    return EXIT_OK if isinstance(first, Accepted) else EXIT_FAILED
+    again = '' if first is outcome else ', as the first time'
+    if isinstance(first, Accepted):
+        say(f'edit {edit.edit_id} accepted as version {first.version}{again}')
+        return EXIT_OK
+    complain(f'edit {edit.edit_id} not accepted{again}')
+    complain_all(reasons_of(first))
+    return EXIT_FAILED
+
+
+def reasons_of(outcome: EditOutcome) -> list[str]:
+    """Tell why an edit was not accepted."""
+    if isinstance(outcome, Conflict):
+        winner = f'edit {outcome.winner_edit_id!r} changed the entry first'
+        version = f'as version {outcome.winner_version}'
+        return [f'{winner}, {version}; look at it and edit again']
+    if isinstance(outcome, Refused):
+        return [f'{one.place}: {one.message}' for one in outcome.findings]
+    return ['no majority of the control replicas answered; nothing was kept']
 
 
 def entry_from(arguments: argparse.Namespace) -> Route | Pool:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -7,8 +7,19 @@
 
 from mustardhold.cli import main
 from mustardhold.commands import explain, show
+from mustardhold.commands.edits import report_outcome
 from mustardhold.tables.outcomes import Err, Ok
-from mustardhold.tables.routing import empty_table
+from mustardhold.tables.routing import (
+    Accepted,
+    Conflict,
+    Edit,
+    EntryKind,
+    Finding,
+    NoQuorum,
+    Refused,
+    RepeatedEdit,
+    empty_table,
+)
 from mustardhold.tables.status import (
     BalancerStatus,
     ControlStatus,
@@ -96,6 +107,23 @@
     assert capsys.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ('outcome', 'code', 'text'),
+    [
+        (Accepted(4), 0, 'edit e accepted as version 4'),
+        (RepeatedEdit(Accepted(4)), 0, 'version 4, as the first time'),
+        (Conflict('other', 5), 1, "edit 'other' changed the entry first"),
+        (Refused((Finding('name', 'is bad'),)), 1, 'name: is bad'),
+        (NoQuorum(None), 1, 'nothing was kept'),
+    ],
+)
+def test_each_outcome_of_an_edit_is_told(capsys, outcome, code, text):
+    edit = Edit('e', EntryKind.POOL, 'p', 0)
+    assert report_outcome(edit, outcome) == code
+    caught = capsys.readouterr()
+    assert text in caught.out + caught.err
+
+
 def test_a_taken_address_stops_a_program(tmp_path, capsys):
     path = tmp_path / 'control.yaml'
     path.write_text(
