--- a/src/mustardhold/systems/readiness.py
+++ b/src/mustardhold/systems/readiness.py
@@ -1,13 +1,16 @@
 """Whether the fabric may hand packets to a balancer."""
 
+from mustardhold.systems.leases import has_left
+from mustardhold.systems.ownership import is_lease_live
 from mustardhold.tables.balancer import BalancerTables
 
 
-def is_ready(tables: BalancerTables) -> bool:
-    """Tell whether a balancer has tables to serve by and is not leaving."""
-    return tables.routing.version > 0 and not tables.stopping
+def is_ready(tables: BalancerTables, now: float) -> bool:
+    """Tell whether a balancer has tables and a lease, and is not leaving."""
+    has_table = tables.routing.version > 0
+    return has_table and is_lease_live(tables, now) and not tables.stopping
 
 
 def is_finished(tables: BalancerTables) -> bool:
     """Tell whether a stopping balancer has nothing left to finish."""
-    return tables.stopping
+    return tables.stopping and has_left(tables)
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 
 from mustardhold.tables.backends import KnownBackend
+from mustardhold.tables.coordination import Membership
 from mustardhold.tables.flows import FlowRecord
+from mustardhold.tables.handover import Handover
 from mustardhold.tables.placement import BucketReport, PlacementSet
 from mustardhold.tables.requests import RequestTables
 from mustardhold.tables.routing import RoutingTable, empty_table
@@ -33,6 +35,8 @@
     lease_until
         Reading of the local monotonic clock, in seconds, up to which this
         balancer may act as an owner.
+    membership
+        Part in the agreement on the view; none where the view is fixed.
     """
 
     instance_id: str
@@ -53,4 +57,6 @@
     digests: int = 0
     next_plan_at: float = 0
     lease_until: float = math.inf
+    membership: Membership | None = None
+    handover: Handover = field(default_factory=Handover)
     stopping: bool = False
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -4,7 +4,9 @@
 
 from mustardhold.tables.backends import BackendRow, BackendServer
 from mustardhold.tables.packets import FlowKey, Packet
+from mustardhold.tables.placement import BucketReport, PlacementSet
 from mustardhold.tables.request_messages import RequestMessage
+from mustardhold.tables.views import ViewMember
 
 
 class Relay(msgspec.Struct, array_like=True, tag=30, frozen=True):
@@ -55,6 +57,178 @@
     backend: BackendServer
 
 
+class Claim(msgspec.Struct, array_like=True, tag=40, frozen=True):
+    """Asks a voter for the coordinator's lease, or to renew it.
+
+    Attributes
+    ----------
+    scope
+        Council that is asked; empty for the whole group.
+    sent_at
+        Reading of the candidate's clock; the lease runs from here.
+    epoch, members
+        Newest view that the candidate knows or proposes.
+    is_coordinator
+        Whether the candidate holds the lease already.
+    placement_version
+        Version of the placements that the candidate has.
+    """
+
+    scope: str
+    candidate_id: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    members: tuple[ViewMember, ...]
+    is_coordinator: bool
+    placement_version: int
+
+
+class Granted(msgspec.Struct, array_like=True, tag=41, frozen=True):
+    """A voter's grant of a claim.
+
+    Attributes
+    ----------
+    epoch, members
+        Newest view that the voter knows; no members if the claim named it.
+    previous_id
+        Candidate that the voter had promised the lease before.
+    placements
+        Set if the candidate is about to be elected with older ones.
+    """
+
+    scope: str
+    voter_id: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    members: tuple[ViewMember, ...]
+    previous_id: str
+    placements: PlacementSet | None
+
+
+class Renewal(msgspec.Struct, array_like=True, tag=42, frozen=True):
+    """Asks the coordinator for a member's lease.
+
+    Attributes
+    ----------
+    sent_at
+        Reading of the member's clock; the lease runs from here.
+    epoch, placement_version
+        What the member has in force.
+    fence_epoch
+        Highest epoch that a message has shown the member.
+    """
+
+    scope: str
+    member_id: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    fence_epoch: int
+    placement_version: int
+    reports: tuple[BucketReport, ...] = ()
+
+
+class Lease(msgspec.Struct, array_like=True, tag=43, frozen=True):
+    """A member's lease under a view.
+
+    Attributes
+    ----------
+    members
+        The view's members; empty if the member has the view in force.
+    placements
+        Set if the member's placements are older.
+    """
+
+    scope: str
+    incarnation: int
+    sent_at: float
+    epoch: int
+    members: tuple[ViewMember, ...] = ()
+    placements: PlacementSet | None = None
+
+
+class NewView(msgspec.Struct, array_like=True, tag=45, frozen=True):
+    """Tells a balancer of a view that a majority knows."""
+
+    scope: str
+    epoch: int
+    members: tuple[ViewMember, ...]
+
+
+class Leave(msgspec.Struct, array_like=True, tag=44, frozen=True):
+    """Gives a lease back: the sender no longer acts on any lease."""
+
+    scope: str
+    member_id: str
+    incarnation: int
+
+
+class AskRecord(msgspec.Struct, array_like=True, tag=50, frozen=True):
+    """Asks a member whether it knows a flow.
+
+    The asker is the primary owner in the view of this epoch; a member with
+    an older view stops acting on it.
+    """
+
+    asker_id: str
+    epoch: int
+    flow: FlowKey
+
+
+class TellRecord(msgspec.Struct, array_like=True, tag=51, frozen=True):
+    """Answers whether a member knows a flow; no server if it does not."""
+
+    member_id: str
+    epoch: int
+    flow: FlowKey
+    service: str = ''
+    backend_id: str = ''
+
+
+class RecordPage(msgspec.Struct, array_like=True, tag=52, frozen=True):
+    """Records of flows for a new owner, grouped by their server.
+
+    Attributes
+    ----------
+    callers
+        First six bytes of each flow's key, joined.
+    is_last
+        Whether the sender has no more records for this epoch.
+    """
+
+    sender_id: str
+    epoch: int
+    sequence: int
+    service: str
+    backend_id: str
+    service_address: bytes
+    callers: bytes
+    is_last: bool
+
+
+class PageTaken(msgspec.Struct, array_like=True, tag=53, frozen=True):
+    """Acknowledges a page of records."""
+
+    member_id: str
+    epoch: int
+    sequence: int
+
+
+class HandoverComplete(msgspec.Struct, array_like=True, tag=54, frozen=True):
+    """Tells that a member has all records of the buckets that it owns."""
+
+    member_id: str
+    epoch: int
+
+
+CouncilMessage = Claim | Granted | Renewal | Lease | NewView | Leave
+HandoverMessage = (
+    AskRecord | TellRecord | RecordPage | PageTaken | HandoverComplete
+)
+
+
 class BackendDigest(msgspec.Struct, array_like=True, tag=60, frozen=True):
     """What a balancer lately heard of backend servers, and holds on them.
 
@@ -76,12 +250,12 @@
     backend_ids: tuple[str, ...]
 
 
-PeerMessage = (
-    Relay
-    | RecordChain
+OwnerMessage = (
+    RecordChain
     | FlowClosed
     | BackendShared
     | BackendDigest
     | BackendsAsked
     | RequestMessage
 )
+PeerMessage = Relay | OwnerMessage | CouncilMessage | HandoverMessage
--- a/src/mustardhold/tables/views.py
+++ b/src/mustardhold/tables/views.py
@@ -19,6 +19,13 @@
     peer_address: Address
 
 
+class ViewMember(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """One start of a balancer, as a view names it."""
+
+    instance_id: str
+    incarnation: int
+
+
 class View(msgspec.Struct, frozen=True):
     """The members that own buckets.
 
@@ -26,7 +33,10 @@
     ----------
     epoch
         Rises with every change of the members.
+    incarnations_by_id
+        Start of each member that the view means.
     """
 
     epoch: int
     members_by_id: dict[str, Member]
+    incarnations_by_id: dict[str, int] = {}
