--- a/src/mustardhold/adapters/metrics.py
+++ b/src/mustardhold/adapters/metrics.py
@@ -19,6 +19,7 @@
 
 PREFIX = 'mustardhold'
 SUMMARY_BY_HISTOGRAM = {
+    'edit_seconds': 'Time from taking an edit to its commit',
     'request_seconds': 'Time from forwarding a request to its first answer',
     'open_seconds': 'Time from sending an opening to its answer',
     'batch_packets': 'Packets taken between two checkpoints',
--- a/src/mustardhold/daemons/balancer_http.py
+++ b/src/mustardhold/daemons/balancer_http.py
@@ -8,6 +8,7 @@
 from mustardhold.adapters.http_app import (
     Application,
     Ask,
+    Handler,
     Reply,
     json_reply,
     make_app,
@@ -19,6 +20,7 @@
 from mustardhold.daemons.balancer_state import Balancer
 from mustardhold.daemons.faults import note_fault
 from mustardhold.daemons.sending import send_all
+from mustardhold.daemons.table_pages import TableWatch, show_changes
 from mustardhold.systems.announcement_checks import find_announcement_faults
 from mustardhold.systems.announcements import take_announced
 from mustardhold.systems.explaining import explain
@@ -63,7 +65,7 @@
         len(tables.flows_by_key),
         tuple(known.announced for known in tables.backends_by_id.values()),
         {'/'.join(key): count for key, count in tables.counters.items()},
-        is_ready(tables),
+        is_ready(tables, balancer.clock.monotonic()),
         tables.stopping,
         lease_left(balancer),
     )
@@ -72,14 +74,17 @@
 def lease_left(balancer: Balancer) -> float | None:
     """Find how long the balancer may act as an owner, in seconds."""
     left = balancer.tables.lease_until - balancer.clock.monotonic()
-    return None if math.isinf(left) else left
+    return None if left == math.inf else max(left, 0)
 
 
 async def show_ready(balancer: Balancer, _: Ask) -> Reply:
     """Tell the fabric whether it may hand packets to this balancer."""
-    if is_ready(balancer.tables):
+    tables = balancer.tables
+    if is_ready(tables, balancer.clock.monotonic()):
         return json_reply({'status': 'ready'})
-    reason = 'stopping' if balancer.tables.stopping else 'no table yet'
+    reason = 'no lease' if tables.routing.version else 'no table yet'
+    if tables.stopping:
+        reason = 'stopping'
     return refuse('', reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
@@ -115,7 +120,9 @@
     )
 
 
-def make_balancer_app(balancer: Balancer) -> Application:
+def make_balancer_app(
+    balancer: Balancer, watch: TableWatch | None = None
+) -> Application:
     """Make the application that a balancer serves."""
     handlers = {
         ('POST', '/announce'): take_announce,
@@ -124,11 +131,14 @@
         ('GET', '/metrics'): show_metrics,
         ('GET', '/explain'): show_explanation,
     }
+    pages: dict[tuple[str, str], Handler] = {
+        page: functools.partial(handler, balancer)
+        for page, handler in handlers.items()
+    }
+    if watch is not None:
+        pages['GET', '/changes'] = functools.partial(show_changes, watch)
     return make_app(
-        {
-            page: functools.partial(handler, balancer)
-            for page, handler in handlers.items()
-        },
+        pages,
         note_fault=functools.partial(
             note_fault, balancer.faults, 'http-failed'
         ),
--- /dev/null
+++ b/src/mustardhold/daemons/control_edits.py
@@ -0,0 +1,157 @@
+"""Edits and replacements of replicas, as operators ask for them."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+
+import httpx
+import trio
+
+from mustardhold.adapters.http_app import (
+    Ask,
+    Reply,
+    json_reply,
+    refuse,
+    refuse_all,
+)
+from mustardhold.adapters.json_body import read_json
+from mustardhold.daemons.replica_node import (
+    AnyOutcome,
+    ReplicaNode,
+    WaitingEdit,
+    follow_effects,
+)
+from mustardhold.systems import consensus
+from mustardhold.systems.observing import observe
+from mustardhold.systems.replica_membership import replace_replica
+from mustardhold.tables.consensus import (
+    Effects,
+    NotLeader,
+    Pending,
+    ReplicaMember,
+    Role,
+)
+from mustardhold.tables.constants import (
+    EDIT_TIMEOUT,
+)
+from mustardhold.tables.outcomes import Err, Ok, Outcome
+from mustardhold.tables.routing import (
+    Accepted,
+    Conflict,
+    Edit,
+    NoQuorum,
+    Refused,
+    RepeatedEdit,
+    Unknown,
+)
+
+MARGIN_SECONDS = 1
+EDIT_SECONDS = 'edit_seconds'
+FORWARDED: Mapping[str, str] = {'forwarded': '1'}
+
+
+def status_for(outcome: AnyOutcome) -> HTTPStatus:
+    """Choose the HTTP status of an edit's outcome."""
+    first = outcome.first if isinstance(outcome, RepeatedEdit) else outcome
+    match first:
+        case Accepted():
+            return HTTPStatus.OK
+        case Conflict():
+            return HTTPStatus.CONFLICT
+        case Refused():
+            return HTTPStatus.UNPROCESSABLE_ENTITY
+        case Unknown():
+            return HTTPStatus.GATEWAY_TIMEOUT
+        case _:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+
+
+def edit_reply(outcome: AnyOutcome) -> Reply:
+    """Answer with an edit's outcome."""
+    return json_reply(outcome, status_for(outcome))
+
+
+async def take_edit(node: ReplicaNode, ask: Ask) -> Reply:
+    """Handle an operator's edit; only a committed one is accepted."""
+    read = read_json(ask.body, Edit)
+    if isinstance(read, Err):
+        return refuse_all(read.error)
+    edit = read.value
+    proposed, effects = consensus.propose_edit(
+        node.replica,
+        node.clock.monotonic(),
+        edit,
+        node.clock.now().timestamp(),
+    )
+    if isinstance(proposed, NotLeader):
+        return await forward_edit(node, proposed.leader, ask)
+    if not isinstance(proposed, Pending):
+        return edit_reply(proposed)
+    waiting = WaitingEdit(proposed.term)
+    node.waiting_by_index[proposed.index] = waiting
+    began = node.clock.monotonic()
+    follow_effects(node, effects)
+    with trio.move_on_after(EDIT_TIMEOUT.total_seconds()):
+        await waiting.done.wait()
+    node.waiting_by_index.pop(proposed.index, None)
+    note_outcome(node, waiting.outcome, node.clock.monotonic() - began)
+    return edit_reply(waiting.outcome)
+
+
+def note_outcome(
+    node: ReplicaNode, outcome: AnyOutcome, seconds: float
+) -> None:
+    """Count the outcome of an edit that this leader took, and its time."""
+    name = type(outcome).__name__.lower()
+    node.replica.counters['edit', name] += 1
+    observe(node.observations, (EDIT_SECONDS, '', name), seconds)
+
+
+async def forward_edit(
+    node: ReplicaNode, leader: ReplicaMember | None, ask: Ask
+) -> Reply:
+    """Hand an edit to the leader, and pass its answer on."""
+    if leader is None or 'forwarded' in ask.query:
+        return edit_reply(NoQuorum(leader.instance_id if leader else None))
+    reply = await post_to_leader(node, leader, '/edits', ask)
+    if isinstance(reply, Ok):
+        return reply.value
+    is_certain = isinstance(reply.error, httpx.ConnectError)
+    return edit_reply(NoQuorum(leader.instance_id) if is_certain else Unknown())
+
+
+async def post_to_leader(
+    node: ReplicaNode, leader: ReplicaMember, path: str, ask: Ask
+) -> Outcome[Reply, httpx.HTTPError]:
+    """Post what an operator asked to the leader."""
+    try:
+        reply = await node.client.post(
+            f'http://{leader.http_address}{path}',
+            params={**ask.query, **FORWARDED},
+            content=ask.body,
+            timeout=EDIT_TIMEOUT.total_seconds() + MARGIN_SECONDS,
+        )
+    except httpx.HTTPError as error:
+        return Err(error)
+    return Ok(Reply(HTTPStatus(reply.status_code), reply.content))
+
+
+async def take_replacement(node: ReplicaNode, ask: Ask) -> Reply:
+    """Handle an operator's wish to replace a replica by its new folder."""
+    leader = node.replica.leader
+    is_leader = node.replica.role is Role.LEADER
+    if not is_leader and leader and 'forwarded' not in ask.query:
+        reply = await post_to_leader(node, leader, '/replicas', ask)
+        if isinstance(reply, Err):
+            return refuse('leader', str(reply.error), HTTPStatus.BAD_GATEWAY)
+        return reply.value
+    effects = Effects()
+    taken = replace_replica(
+        node.replica,
+        node.clock.monotonic(),
+        ask.query.get('replace', ''),
+        effects,
+    )
+    if isinstance(taken, Err):
+        return json_reply(Refused((taken.error,)), HTTPStatus.CONFLICT)
+    follow_effects(node, effects)
+    return json_reply(taken.value, HTTPStatus.ACCEPTED)
--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,15 +1,22 @@
-"""The way of a packet: every packet of a flow goes through its owner."""
+"""The way of a packet: to its bucket's base, or through its flow's owner."""
 
 from mustardhold.systems.answers import take_answer, take_shed
+from mustardhold.systems.freezing import is_stale
 from mustardhold.systems.health import note_backend_packet
-from mustardhold.systems.opening import open_flow
-from mustardhold.systems.ownership import is_lease_live, owners_for
-from mustardhold.systems.records import end_flow
-from mustardhold.systems.requests import (
-    answer_without_lease,
-    take_cancel,
-    take_request,
+from mustardhold.systems.holding import (
+    expired_early,
+    hold_early,
+    release_early,
+)
+from mustardhold.systems.opening import open_settled
+from mustardhold.systems.owner_decisions import decide_as_owner, settled_base
+from mustardhold.systems.ownership import (
+    is_lease_live,
+    owners_for,
+    raise_fence,
 )
+from mustardhold.systems.records import end_flow
+from mustardhold.systems.requests import answer_without_lease
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import RELAY_HOPS
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
@@ -18,7 +25,6 @@
     BackendPacket,
     CallerPacket,
     Cancel,
-    Close,
     FlowEnded,
     Open,
     Request,
@@ -35,14 +41,19 @@
     hops: int = 0,
 ) -> None:
     """Decide on a packet from a caller, or relay it to its flow's owner."""
+    if is_stale(tables, now) or forward_settled(tables, now, packet, outbox):
+        return
     owners = owners_for(tables, packet.flow)
+    if not owners:
+        tables.counters['', 'no-owner'] += 1
+        return
     if owners[0] == tables.instance_id:
-        if not is_lease_live(tables, now):
-            tables.counters['', 'lease-expired'] += 1
-            if isinstance(packet, Request):
-                answer_without_lease(tables, packet, outbox)
-            return
-        decide_as_owner(tables, now, packet, owners, outbox)
+        if is_lease_live(tables, now):
+            decide_as_owner(tables, now, packet, owners, outbox)
+        elif awaits_view(tables, now):
+            hold_early(tables, now, packet, hops)
+        else:
+            refuse_without_lease(tables, packet, outbox)
     elif hops < RELAY_HOPS:
         relay = Relay(tables.instance_id, tables.view.epoch, hops + 1, packet)
         outbox.append(ToPeer(owners[0], relay))
@@ -50,33 +61,62 @@
         tables.counters['', 'relay-hops-exceeded'] += 1
 
 
-def decide_as_owner(
-    tables: BalancerTables,
-    now: float,
-    packet: CallerPacket,
-    owners: tuple[str, ...],
-    outbox: Outbox,
+def awaits_view(tables: BalancerTables, now: float) -> bool:
+    """Tell whether a newer view is about to say who decides."""
+    return tables.stopping or now < tables.lease_until
+
+
+def refuse_without_lease(
+    tables: BalancerTables, packet: CallerPacket, outbox: Outbox
 ) -> None:
-    """Decide on a caller's packet as primary owner of its bucket."""
-    record = tables.flows_by_key.get(packet.flow)
-    if isinstance(packet, Open):
-        open_flow(tables, packet, record, owners, outbox)
-        return
-    known = tables.backends_by_id.get(record.backend_id) if record else None
-    if known is None:
-        tables.counters['', 'no-record'] += 1
+    """Drop a packet that needs a lease; tell what becomes of a request."""
+    tables.counters['', 'lease-expired'] += 1
     if isinstance(packet, Request):
-        take_request(tables, now, packet, known, outbox)
-        return
-    if known is None:
-        outbox.append(ToCaller(FlowEnded(packet.flow)))
+        answer_without_lease(tables, packet, outbox)
+
+
+def take_relay(
+    tables: BalancerTables, now: float, relay: Relay, outbox: Outbox
+) -> None:
+    """Act on a relayed packet, once our view is as new as the sender's."""
+    packet = relay.packet
+    if not isinstance(packet, CallerPacket):
         return
-    if isinstance(packet, Cancel):
-        take_cancel(tables, now, packet, known, outbox)
+    if raise_fence(tables, relay.epoch):
+        hold_early(tables, now, packet, relay.hops)
         return
-    outbox.append(ToBackend(known.announced.address, packet))
-    if isinstance(packet, Close):
-        end_flow(tables, packet.flow, outbox)
+    take_caller_packet(tables, now, packet, outbox, relay.hops)
+
+
+def forward_settled(
+    tables: BalancerTables, now: float, packet: CallerPacket, outbox: Outbox
+) -> bool:
+    """Forward a packet of a settled bucket; requests go by their owner."""
+    if not tables.placements.placements_by_pool:
+        return False
+    if isinstance(packet, Request | Cancel) or not is_lease_live(tables, now):
+        return False
+    base = settled_base(tables, packet.flow)
+    known = tables.backends_by_id.get(base or '')
+    if known is None:
+        return False
+    if isinstance(packet, Open):
+        open_settled(tables, packet, known, outbox)
+    else:
+        outbox.append(ToBackend(known.announced.address, packet))
+    return True
+
+
+def retake_packets(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Decide again on held packets, after a change of the view."""
+    for one in release_early(tables, now):
+        take_caller_packet(tables, now, one.packet, outbox, one.hops)
+
+
+def drop_early(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Give up packets for which no newer view came in time."""
+    for packet in expired_early(tables, now):
+        refuse_without_lease(tables, packet, outbox)
 
 
 def take_backend_packet(
--- a/src/mustardhold/systems/opening.py
+++ b/src/mustardhold/systems/opening.py
@@ -1,10 +1,10 @@
 """Places new flows on backend servers."""
 
+from mustardhold.systems.bindings import opening_service
 from mustardhold.systems.capacity import note_placed
 from mustardhold.systems.choice import choose_server, may_take
 from mustardhold.systems.hashing import bucket_of
 from mustardhold.systems.records import pass_chain
-from mustardhold.systems.routing import service_of
 from mustardhold.tables.backends import KnownBackend
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import MAX_FLOW_RECORDS
@@ -41,7 +41,7 @@
     tables: BalancerTables, packet: Open, outbox: Outbox
 ) -> FlowRecord | None:
     """Choose a server for a new flow and record it; refuse it otherwise."""
-    service = service_of(tables, packet.flow)
+    service = opening_service(tables, packet.flow)
     pool = tables.routing.pools_by_name.get(service or '')
     if service is None or pool is None:
         refuse_open(tables, packet.flow, service or '', 'no-service', outbox)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -17,7 +17,9 @@
 from mustardhold.daemons.balancer_packets import take_data, take_message
 from mustardhold.daemons.balancer_state import make_balancer
 from mustardhold.daemons.packet_loop import drain_batch
+from mustardhold.daemons.sending import send_all
 from mustardhold.systems.addresses import pack_address
+from mustardhold.systems.peers import tick
 from mustardhold.tables.backends import BackendServer
 from mustardhold.tables.options import BalancerOptions
 from mustardhold.tables.outcomes import Err, Ok
@@ -60,11 +62,20 @@
         (Member('b1', 'dc', peer),),
     )
     made = make_balancer(options, FakeClock(), LOG)
+    for _ in range(5):
+        let_time_pass(made, 0.9)
     yield made
     made.data_socket.close()
     made.peer_socket.close()
 
 
+def let_time_pass(balancer, seconds):
+    balancer.clock.seconds += seconds
+    outbox = []
+    tick(balancer.tables, balancer.clock.monotonic(), outbox)
+    send_all(balancer, outbox)
+
+
 def flow_of(caller):
     host, port = caller.getsockname()
     return pack_address(f'{host}:{port}') + pack_address('10.9.9.9:443')
@@ -105,6 +116,7 @@
     assert refused == OpenRefused(flow, 'no-service')
     request = Request(flow, b'r' * 16, False, 100, b'')
     take_data(balancer, encode_packet(request))
+    let_time_pass(balancer, 0.1)
     refused = msgspec.msgpack.decode(caller.recv(2000), type=NotRun)
     assert refused.request_id == b'r' * 16
 
@@ -272,6 +284,7 @@
     flow, request_id = flow_of(caller), b'q' * 16
     request = Request(flow, request_id, True, 100, b'')
     take_data(balancer, encode_packet(request))
+    let_time_pass(balancer, 0.1)
     take_data(balancer, encode_packet(Answer(flow, request_id, 0, 1, b'')))
     async with app_client(make_balancer_app(balancer)) as client:
         metrics = (await client.get('/metrics')).text
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -66,7 +66,7 @@
 
 
 def wait_ready(http_address: str) -> None:
-    """Wait until a process answers over HTTP.
+    """Wait until a process answers over HTTP, and a balancer has a lease.
 
     Raises
     ------
@@ -76,11 +76,14 @@
     deadline = time.monotonic() + READY_SECONDS
     while time.monotonic() < deadline:
         try:
-            httpx.get(f'http://{http_address}/status', timeout=1)
+            reply = httpx.get(f'http://{http_address}/status', timeout=1)
         except httpx.HTTPError:
             time.sleep(POLL_SECONDS)
-        else:
+            continue
+        # A balancer answers how long it may act; a control replica does not.
+        if reply.json().get('lease_left', 1) != 0:
             return
+        time.sleep(POLL_SECONDS)
     raise TimeoutError(f'{http_address} does not answer')
 
 
