--- a/tools/fakes/request_runs.py
+++ b/tools/fakes/request_runs.py
@@ -8,7 +8,16 @@
 
 from tools.fakes.callers import FlowSeen, RequestSeen
 from tools.fakes.event_queue import run_until, schedule
-from tools.fakes.fleet import Fleet, Logic, freeze, kill, make_fleet, thaw
+from tools.fakes.fleet import (
+    Fleet,
+    Logic,
+    freeze,
+    kill,
+    make_fleet,
+    restart,
+    start_balancer,
+    thaw,
+)
 from tools.fakes.servers import make_servers
 from tools.fakes.traffic import FlowNumbers, Traffic, start_traffic
 
@@ -16,6 +25,9 @@
 FAULT_AT = 6.0
 TRAFFIC_END = 20.0
 END = 45.0
+ABSENT = 'b6'
+RESTART_SECONDS = 3.0
+ROLLING_SECONDS = 4.0
 SHORT_FREEZE = 5.0
 LONG_FREEZE = 30.0
 
@@ -77,6 +89,34 @@
     kill(fleet, pick_balancer(fleet))
 
 
+def restart_balancer(fleet: Fleet) -> None:
+    """End one balancer, and start it again with nothing in its memory."""
+    name = pick_balancer(fleet)
+    kill(fleet, name)
+    schedule(fleet.queue, RESTART_SECONDS, lambda: start_balancer(fleet, name))
+
+
+def restart_all(fleet: Fleet) -> None:
+    """Stop each balancer in turn as planned, and start it again."""
+    for number, name in enumerate(BALANCERS):
+        schedule(
+            fleet.queue,
+            number * ROLLING_SECONDS,
+            functools.partial(restart_unless_frozen, fleet, name),
+        )
+
+
+def restart_unless_frozen(fleet: Fleet, name: str) -> None:
+    """Restart a balancer as planned, where it can act on that."""
+    if name not in fleet.backlog_by_frozen:
+        restart(fleet, name)
+
+
+def join_balancer(fleet: Fleet) -> None:
+    """Start a balancer that was absent."""
+    start_balancer(fleet, ABSENT)
+
+
 def freeze_for(fleet: Fleet, seconds: float) -> None:
     """Freeze one balancer, and thaw it later."""
     name = pick_balancer(fleet)
@@ -91,6 +131,9 @@
     'shed': shed_requests,
     'slow': slow_servers,
     'kill': kill_balancer,
+    'join': join_balancer,
+    'restart': restart_balancer,
+    'rolling': restart_all,
     'freeze-5': lambda fleet: freeze_for(fleet, SHORT_FREEZE),
     'freeze-30': lambda fleet: freeze_for(fleet, LONG_FREEZE),
 }
@@ -106,7 +149,9 @@
     """Run traffic under the faults that the seed picks, in turn."""
     sets = fault_sets()
     faults = sets[(seed * 7) % len(sets)]
-    fleet = make_fleet(seed, logic, BALANCERS, make_servers('werkstatt', 7))
+    servers = make_servers('werkstatt', 7)
+    fleet = make_fleet(seed, logic, (*BALANCERS, ABSENT), servers)
+    kill(fleet, ABSENT)
     start_traffic(fleet, traffic, TRAFFIC_END, FlowNumbers())
     for name in faults:
         at = FAULT_AT + fleet.queue.rng.uniform(0, 2)
