Keep what owners know over views whose epochs follow each other

Between two epochs that follow each other nothing can have been forwarded, so a lease that ran out does not matter there.

--- a/src/mustardhold/systems/completeness.py
+++ b/src/mustardhold/systems/completeness.py
@@ -15,14 +15,17 @@
 def note_view(tables: BalancerTables, now: float) -> None:
     """Take a change of the view into the history of owned buckets.
 
-    A balancer whose lease ran out before the change may have missed views in
-    between, so what it knew before counts no longer.
+    No request can have been forwarded between two views whose epochs follow
+    each other. Where epochs are missing, a balancer whose lease had run out
+    may have missed a view, so what it knew before counts no longer.
     """
     history = tables.requests.history
     epoch = tables.view.epoch
     if history.epoch != epoch:
         is_founding = not history.epoch and epoch <= FOUNDING_EPOCH
-        if now >= history.lease_until or history.epoch == NO_EPOCH:
+        is_next = history.epoch is not None and epoch == history.epoch + 1
+        is_continuous = is_next or now < history.lease_until
+        if history.epoch == NO_EPOCH or not is_continuous:
             history.spans_by_bucket.clear()
             history.primary_since.clear()
         for bucket in range(BUCKETS_PER_POOL):
