Bound the records of other owners; fill every table in one test

Found by the audit: records that came along the chain or were made for a base had no limit, so packets with made-up flow keys could fill the memory. Both are bounded now, counted as record-table-full, and a chained opening is refused. tests/test_limits.py fills twelve tables, queues and buffers.

--- a/src/mustardhold/systems/handover.py
+++ b/src/mustardhold/systems/handover.py
@@ -4,7 +4,7 @@
 
 from mustardhold.systems.hashing import bucket_of, owners_of
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.constants import FLOW_KEY_BYTES
+from mustardhold.tables.constants import FLOW_KEY_BYTES, MAX_FLOW_RECORDS
 from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.handover import RecordGroup, Transfer
 from mustardhold.tables.views import View
@@ -155,6 +155,9 @@
         if known.backend_id != backend_id:
             tables.counters[service, 'record-conflict'] += 1
         return
+    if len(tables.flows_by_key) >= MAX_FLOW_RECORDS:
+        tables.counters[service, 'record-table-full'] += 1
+        return
     owners = tables.owners_by_bucket.get(bucket_of(flow), ())
     is_primary = bool(owners) and owners[0] == tables.instance_id
     tables.flows_by_key[flow] = FlowRecord(
--- a/src/mustardhold/systems/records.py
+++ b/src/mustardhold/systems/records.py
@@ -2,9 +2,10 @@
 
 from mustardhold.systems.ownership import owners_for, raise_fence
 from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import MAX_FLOW_RECORDS
 from mustardhold.tables.flows import FlowRecord
-from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
-from mustardhold.tables.packets import Open
+from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
+from mustardhold.tables.packets import Open, OpenRefused
 from mustardhold.tables.peers import FlowClosed, RecordChain
 
 
@@ -36,6 +37,10 @@
         return
     known = tables.flows_by_key.get(chain.flow)
     if known is None:
+        if len(tables.flows_by_key) >= MAX_FLOW_RECORDS:
+            tables.counters[chain.service, 'record-table-full'] += 1
+            outbox.append(ToCaller(OpenRefused(chain.flow, 'table-full')))
+            return
         tables.flows_by_key[chain.flow] = FlowRecord(
             chain.service, chain.backend_id, is_primary=False
         )
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,261 @@
+"""Every table, queue and buffer of a balancer is bounded, and counts it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+
+from mustardhold.systems import (
+    admission,
+    announcements,
+    answers,
+    handover,
+    holding,
+    opening,
+    records,
+    request_handover,
+    request_records,
+)
+from mustardhold.systems.completeness import note_view
+from mustardhold.systems.request_chain import take_request_chain
+from mustardhold.systems.requests import take_request
+from mustardhold.systems.routing import install_table
+from mustardhold.tables.backends import BackendServer, BackendState
+from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.outbox import ToCaller
+from mustardhold.tables.packets import Answer, Open, Request, Upload
+from mustardhold.tables.peers import RecordChain
+from mustardhold.tables.request_messages import KnownRequests, RequestChain
+from mustardhold.tables.routing import Pool, Route, RoutingTable
+from mustardhold.tables.views import Member, View
+
+LIMIT = 3
+TRIES = 12
+SERVICE = b'\x0a\x14\x00\x01\x01\xbb'
+NAMES = ('b1', 'b2', 'b3')
+
+
+def make_tables():
+    """Make a balancer that owns every bucket, with one slow server."""
+    members = {name: Member(name, 'dc', '127.0.0.1:1') for name in NAMES}
+    tables = BalancerTables('b1', 'dc', View(1, members))
+    tables.owners_by_bucket = dict.fromkeys(range(256), NAMES)
+    table = RoutingTable(
+        1,
+        {'werkstatt': Route('werkstatt', ('10.20.0.1:443',))},
+        {'werkstatt': Pool('werkstatt')},
+        {},
+    )
+    install_table(tables, table)
+    announce(tables, 0)
+    note_view(tables, 0)
+    return tables
+
+
+def announce(tables, number):
+    server = BackendServer(
+        f's{number}',
+        'werkstatt',
+        'dc',
+        f'127.0.0.1:{number + 1}',
+        2,
+        2000,
+        0,
+        0,
+        BackendState.READY,
+        1,
+        1,
+    )
+    announcements.take_announcement(tables, 0, server)
+
+
+def flow_of(number):
+    return number.to_bytes(6, 'big') + SERVICE
+
+
+def request_of(number):
+    return Request(flow_of(1), number.to_bytes(16, 'big'), False, 2000, b'')
+
+
+def open_one(tables, number, outbox):
+    packet = Open(flow_of(number))
+    opening.open_flow(tables, packet, None, NAMES, outbox)
+
+
+def chain_record(tables, number, outbox):
+    chain = RecordChain(1, flow_of(number), 'werkstatt', 's0', ())
+    records.take_chain(tables, 0, chain, outbox)
+
+
+def store_one(tables, number, _):
+    handover.store_record(tables, flow_of(number), 'werkstatt', 's0')
+
+
+def ask_one(tables, number, outbox):
+    known = tables.backends_by_id['s0']
+    take_request(tables, 0, request_of(number), known, outbox)
+
+
+def chain_request(tables, number, outbox):
+    chain = RequestChain(1, request_of(number), 'werkstatt', 's0', '', True, ())
+    take_request_chain(tables, 0, chain, outbox)
+
+
+def see_answer(tables, number, outbox):
+    tables.owners_by_bucket = dict.fromkeys(range(256), ('b2', 'b3', 'b1'))
+    answer = Answer(flow_of(1), request_of(number).request_id, 0, 2, b'')
+    answers.take_answer(tables, answer, outbox)
+
+
+def hand_over(tables, number, _):
+    bucket = number % 256
+    spans = tables.requests.history.spans_by_bucket
+    spans[bucket].is_complete = False
+    entry = request_handover.ENTRY.pack(number.to_bytes(8, 'big'), 9)
+    page = KnownRequests('b2', 1, bucket, 0, 1, entry)
+    request_handover.take_known(tables, 0, page)
+
+
+def announce_one(tables, number, _):
+    announce(tables, number)
+
+
+def hold_one(tables, number, outbox):
+    packet = Upload(flow_of(number), b'')
+    holding.hold_packet(tables, 0, packet, {'b2'}, outbox)
+
+
+def hold_same(tables, _, outbox):
+    packet = Upload(flow_of(1), b'')
+    holding.hold_packet(tables, 0, packet, {'b2'}, outbox)
+
+
+def hold_one_early(tables, number, _):
+    holding.hold_early(tables, 0, Upload(flow_of(number), b''), 0)
+
+
+def count_handed(tables):
+    return sum(map(len, tables.requests.handed_over.values()))
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """A table, what fills it, and how it says that it is full."""
+
+    module: object
+    constant: str
+    fill: Callable
+    size: Callable
+    counter: str
+    told: str = ''
+
+
+BOUNDS = {
+    'flows opened here': Bound(
+        opening,
+        'MAX_FLOW_RECORDS',
+        open_one,
+        lambda tables: len(tables.flows_by_key),
+        'open-refused-table-full',
+        'OpenRefused',
+    ),
+    'flows of other owners': Bound(
+        records,
+        'MAX_FLOW_RECORDS',
+        chain_record,
+        lambda tables: len(tables.flows_by_key),
+        'record-table-full',
+        'OpenRefused',
+    ),
+    'flows handed over': Bound(
+        handover,
+        'MAX_FLOW_RECORDS',
+        store_one,
+        lambda tables: len(tables.flows_by_key),
+        'record-table-full',
+    ),
+    'requests admitted here': Bound(
+        request_records,
+        'MAX_REQUEST_RECORDS',
+        ask_one,
+        lambda tables: len(tables.requests.records_by_key),
+        'request-table-full',
+        'Unknown',
+    ),
+    'requests of other owners': Bound(
+        request_records,
+        'MAX_REQUEST_RECORDS',
+        chain_request,
+        lambda tables: len(tables.requests.records_by_key),
+        'request-table-full',
+    ),
+    'requests that wait': Bound(
+        admission,
+        'MAX_WAITING_REQUESTS',
+        ask_one,
+        lambda tables: tables.requests.waiting_by_service['werkstatt'],
+        'request-queue-full',
+    ),
+    'requests handed over': Bound(
+        request_handover,
+        'MAX_REQUEST_RECORDS',
+        hand_over,
+        count_handed,
+        'request-handover-full',
+    ),
+    'answers to report': Bound(
+        answers,
+        'MAX_SEEN_BYTES',
+        see_answer,
+        lambda tables: sum(map(len, tables.requests.seen_by_owner.values())),
+        'answers-seen-full',
+    ),
+    'backend servers': Bound(
+        announcements,
+        'MAX_BACKEND_SERVERS',
+        announce_one,
+        lambda tables: len(tables.backends_by_id),
+        'announcement-table-full',
+    ),
+    'packets held': Bound(
+        holding,
+        'MAX_HOLD_PACKETS',
+        hold_one,
+        lambda tables: tables.handover.held_packets,
+        'hold-full',
+    ),
+    'packets held for a flow': Bound(
+        holding,
+        'MAX_HELD_PER_FLOW',
+        hold_same,
+        lambda tables: tables.handover.held_packets,
+        'hold-flow-full',
+    ),
+    'packets held for a view': Bound(
+        holding,
+        'MAX_HOLD_PACKETS',
+        hold_one_early,
+        lambda tables: len(tables.handover.early),
+        'hold-full',
+    ),
+}
+
+
+@pytest.mark.parametrize('bound', BOUNDS.values(), ids=BOUNDS)
+def test_a_full_table_refuses_and_counts(bound, monkeypatch):
+    monkeypatch.setattr(bound.module, bound.constant, LIMIT)
+    monkeypatch.setattr(admission, 'IN_FLIGHT_PER_SLOT', 1)
+    tables = make_tables()
+    outbox = []
+    for number in range(1, TRIES + 1):
+        bound.fill(tables, number, outbox)
+    assert bound.size(tables) <= LIMIT
+    counts = {outcome: count for (_, outcome), count in tables.counters.items()}
+    assert counts[bound.counter] > 0
+    if bound.told:
+        told = {
+            type(send.packet).__name__
+            for send in outbox
+            if isinstance(send, ToCaller)
+        }
+        assert bound.told in told
