Tell refusals apart from a caller's later sending; renew repeated reads

For bookings and orders any run at any time stays a violation. For idempotent requests a run after the refusal is one unless the caller has sent it again in between: that is what a caller does after a refusal. A run before the refusal stays one for both.

An idempotent request that is sent again after it ended gets its new deadline.

--- a/src/mustardhold/systems/deadlines.py
+++ b/src/mustardhold/systems/deadlines.py
@@ -22,6 +22,7 @@
 from mustardhold.systems.request_records import (
     add_timer,
     forget_record,
+    tell_at,
     tell_unknown,
 )
 from mustardhold.systems.retries import schedule_retry, take_retry
@@ -58,7 +59,7 @@
         return
     if what is Due.RETRY:
         retry_request(tables, now, key, record, outbox)
-    else:
+    elif now >= tell_at(record):
         end_at_deadline(tables, now, key, record, outbox)
 
 
--- a/src/mustardhold/systems/request_records.py
+++ b/src/mustardhold/systems/request_records.py
@@ -55,6 +55,21 @@
     return True
 
 
+def renew_record(
+    tables: BalancerTables, now: float, key: bytes, packet: Request
+) -> None:
+    """Give an idempotent request that was sent again its new deadline."""
+    record = tables.requests.records_by_key[key]
+    renewed = make_record(
+        now, packet, record.service, record.backend_id, record.epoch
+    )
+    record.received_at = now
+    record.deadline_at = renewed.deadline_at
+    record.parts_seen = 0
+    add_timer(tables, tell_at(record), key, Due.DEADLINE)
+    add_timer(tables, forget_at(record), key, Due.FORGET)
+
+
 def make_record(
     now: float, packet: Request, service: str, backend_id: str, epoch: int
 ) -> RequestRecord:
--- a/src/mustardhold/systems/requests.py
+++ b/src/mustardhold/systems/requests.py
@@ -18,6 +18,7 @@
 from mustardhold.systems.request_records import (
     add_record,
     make_record,
+    renew_record,
     request_key,
     tell_not_run,
     tell_unknown,
@@ -146,8 +147,8 @@
     record = tables.requests.records_by_key[key]
     if record.refusal:
         tell_not_run(tables, record, outbox)
-    elif record.idempotent and now < record.deadline_at:
-        record.parts_seen = 0
+    elif record.idempotent:
+        renew_record(tables, now, key, packet)
         admit(tables, now, key, packet, outbox)
     else:
         tell_unknown(tables, record, 'already-forwarded', outbox)
--- a/tools/fakes/callers.py
+++ b/tools/fakes/callers.py
@@ -28,11 +28,15 @@
         Every outcome that arrived, in order.
     first_outcome_at
         Virtual time of the first, in seconds.
+    resent_at, refused_at
+        Virtual times of the repeats, and of each ``not-run``.
     """
 
     request: Request
     sent_at: float = 0
     first_outcome_at: float | None = None
+    resent_at: list[float] = field(default_factory=list)
+    refused_at: list[float] = field(default_factory=list)
     parts: dict[int, bytes] = field(default_factory=dict)
     outcomes: list[str] = field(default_factory=list)
     foreign_answers: int = 0
@@ -91,6 +95,7 @@
         return
     if isinstance(packet, NotRun):
         request.outcomes.append('not-run')
+        request.refused_at.append(now)
     elif isinstance(packet, Unknown):
         request.outcomes.append('unknown')
     else:
--- a/tools/fakes/request_runs.py
+++ b/tools/fakes/request_runs.py
@@ -47,6 +47,7 @@
     faults: tuple[str, ...]
     fleet: Fleet
     runs_by_request: Counter[bytes]
+    run_times: dict[bytes, list[float]]
 
 
 def lose_packets(fleet: Fleet) -> None:
@@ -157,10 +158,18 @@
         at = FAULT_AT + fleet.queue.rng.uniform(0, 2)
         schedule(fleet.queue, at, functools.partial(FAULTS[name], fleet))
     run_until(fleet.queue, END)
+    return collect_run(faults, fleet)
+
+
+def collect_run(faults: tuple[str, ...], fleet: Fleet) -> Run:
+    """Collect what the servers have run."""
     runs: Counter[bytes] = Counter()
+    run_times: dict[bytes, list[float]] = {}
     for server in fleet.servers_by_id.values():
         runs.update(server.runs_by_request)
-    return Run(faults, fleet, runs)
+        for key, times in server.run_times.items():
+            run_times.setdefault(key, []).extend(times)
+    return Run(faults, fleet, runs, run_times)
 
 
 def seen_requests(fleet: Fleet) -> Iterator[tuple[FlowSeen, RequestSeen]]:
@@ -174,3 +183,20 @@
     """Count how often a request ran."""
     packet = request.request
     return run.runs_by_request[packet.flow + packet.request_id]
+
+
+def is_falsely_refused(run: Run, request: RequestSeen) -> bool:
+    """Tell whether a request that was called not run did run.
+
+    Only an idempotent one may run after its refusal, if its caller has sent it
+    again in between.
+    """
+    packet = request.request
+    times = run.run_times.get(packet.flow + packet.request_id, ())
+    for refused_at, ran_at in itertools.product(request.refused_at, times):
+        is_resent = any(
+            refused_at <= sent_at <= ran_at for sent_at in request.resent_at
+        )
+        if not (packet.idempotent and is_resent):
+            return True
+    return False
--- a/tools/fakes/traffic.py
+++ b/tools/fakes/traffic.py
@@ -167,7 +167,7 @@
         resend_until_told(fleet, request, traffic.resend_seconds)
     if rng.random() < traffic.late_resends:
         late = rng.uniform(0, traffic.late_seconds)
-        schedule(fleet.queue, late, lambda: spray(fleet, CALLER, packet))
+        schedule(fleet.queue, late, lambda: resend(fleet, request, packet))
     if rng.random() < traffic.cancels:
         cancel = Cancel(seen.flow, request_id)
         spray(fleet, CALLER, cancel)
@@ -181,16 +181,22 @@
     first = request.request
     deadline = request.sent_at + first.deadline_ms / MS_PER_SECOND
 
-    def resend() -> None:
+    def resend_later() -> None:
         left = deadline - fleet.queue.now
         if request.outcomes or left <= 0:
             return
         left_ms = int(left * MS_PER_SECOND)
         again = msgspec.structs.replace(first, deadline_ms=left_ms)
-        spray(fleet, CALLER, again)
-        schedule(fleet.queue, period, resend)
+        resend(fleet, request, again)
+        schedule(fleet.queue, period, resend_later)
 
-    schedule(fleet.queue, period, resend)
+    schedule(fleet.queue, period, resend_later)
+
+
+def resend(fleet: Fleet, request: RequestSeen, packet: Request) -> None:
+    """Send a request again, and keep when."""
+    request.resent_at.append(fleet.queue.now)
+    spray(fleet, CALLER, packet)
 
 
 def close_flow(fleet: Fleet, seen: FlowSeen) -> None:
--- a/tools/proofs/requests.py
+++ b/tools/proofs/requests.py
@@ -10,6 +10,7 @@
 )
 from tools.fakes.request_runs import (
     Run,
+    is_falsely_refused,
     run_requests,
     runs_of,
     seen_requests,
@@ -79,7 +80,7 @@
 def find_false_refusals(run: Run) -> Iterator[Violation]:
     """Yield the requests that were called not run, but ran."""
     for _, request in seen_requests(run.fleet):
-        if 'not-run' in request.outcomes and runs_of(run, request):
+        if is_falsely_refused(run, request):
             name = describe(run, request.request.request_id)
             yield Violation(
                 'what is refused as not run was not run',
