Drop what a server said while a balancer was frozen, but for answers

A trace showed an opening accepted by a server whose reply waited 28 s in the frozen balancer's buffer; the caller had meanwhile been placed elsewhere, and at the thaw was told of the first server. Ruled out: two owners in force at once (views and leases in the trace agree). Change: a balancer that was frozen passes on only parts of answers of what waited; their request's id tells the caller what they are for. Conclusion: the reply is not the balancer's own knowledge, but it is old.

--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -120,9 +120,21 @@
 
 
 def take_backend_packet(
-    tables: BalancerTables, packet: BackendPacket, outbox: Outbox
+    tables: BalancerTables,
+    now: float,
+    packet: BackendPacket,
+    outbox: Outbox,
 ) -> None:
-    """Pass a server's packet to the caller that its flow key names."""
+    """Pass a server's packet to the caller that its flow key names.
+
+    Of what waited while we were frozen, only parts of answers are passed on:
+    their request's id tells the caller what they are for. An opening may have
+    been placed elsewhere since.
+    """
+    if is_stale(tables, now):
+        if isinstance(packet, Answer):
+            outbox.append(ToCaller(packet))
+        return
     note_backend_packet(tables, packet)
     if isinstance(packet, Answer):
         take_answer(tables, packet, outbox)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -3,15 +3,25 @@
 import random
 
 from mustardhold.systems.addresses import pack_address
-from mustardhold.systems.affinity import take_caller_packet
+from mustardhold.systems.affinity import (
+    take_backend_packet,
+    take_caller_packet,
+)
 from mustardhold.systems.announcements import take_announcement
 from mustardhold.systems.ownership import owners_for
 from mustardhold.systems.peers import take_peer_message
 from mustardhold.systems.routing import install_table
 from mustardhold.tables.backends import BackendServer, BackendState
 from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.coordination import Membership
 from mustardhold.tables.outbox import ToBackend, ToCaller, ToPeer
-from mustardhold.tables.packets import Open, OpenRefused, Upload
+from mustardhold.tables.packets import (
+    Answer,
+    Open,
+    Opened,
+    OpenRefused,
+    Upload,
+)
 from mustardhold.tables.routing import Pool, Route, RoutingTable
 from mustardhold.tables.views import Member, View
 
@@ -103,3 +113,13 @@
     [tables, *_] = make_group().values()
     assert not install_table(tables, RoutingTable(1, {}, {}, {}))
     assert tables.routing.version == 2
+
+
+def test_after_a_freeze_only_parts_of_answers_are_passed_on():
+    [tables, *_] = make_group().values()
+    tables.membership = Membership(1, {}, (), 0, active_at=0)
+    outbox = []
+    flow = flow_key(7)
+    for packet in (Opened(flow, 's1'), Answer(flow, b'r' * 16, 0, 1, b'')):
+        take_backend_packet(tables, 30, packet, outbox)
+    assert [type(send.packet) for send in outbox] == [Answer]
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -49,7 +49,9 @@
     take_caller_packet: Callable[
         [BalancerTables, float, CallerPacket, Outbox], None
     ]
-    take_backend_packet: Callable[[BalancerTables, BackendPacket, Outbox], None]
+    take_backend_packet: Callable[
+        [BalancerTables, float, BackendPacket, Outbox], None
+    ]
     take_peer_message: Callable[
         [BalancerTables, float, PeerMessage, Outbox], None
     ]
@@ -276,12 +278,12 @@
     def take() -> None:
         tables = fleet.balancers_by_id[name]
         outbox: Outbox = []
+        now = fleet.queue.now
         if isinstance(packet, CallerPacket):
             fleet.packets += 1
-            now = fleet.queue.now
             fleet.logic.take_caller_packet(tables, now, packet, outbox)
         else:
-            fleet.logic.take_backend_packet(tables, packet, outbox)
+            fleet.logic.take_backend_packet(tables, now, packet, outbox)
         dispatch(fleet, name, outbox)
 
     send(fleet.network, sender, name, lambda: at_balancer(fleet, name, take))
