--- a/tools/measurements/slopes.py
+++ b/tools/measurements/slopes.py
@@ -18,12 +18,23 @@
 from mustardhold.systems.announcements import take_announcement
 from mustardhold.systems.edits import apply_edit
 from mustardhold.systems.routing import install_table
-from mustardhold.tables.backends import BackendServer, BackendState
+from mustardhold.tables.backends import (
+    BackendRow,
+    BackendServer,
+    BackendState,
+)
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.edits import EditState
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.packets import Open, Upload
-from mustardhold.tables.peers import BackendShared
+from mustardhold.tables.peers import (
+    BackendDigest,
+    BackendShared,
+    Claim,
+    Granted,
+    Lease,
+    Renewal,
+)
 from mustardhold.tables.routing import (
     Edit,
     EntryKind,
@@ -31,7 +42,7 @@
     Route,
     RoutingTable,
 )
-from mustardhold.tables.views import Member, View
+from mustardhold.tables.views import Member, View, ViewMember
 from tools.fakes.fleet import flow_key
 from tools.registry import Cell, Measurement, Table
 
@@ -199,6 +210,34 @@
     return float(announcements * len(message))
 
 
+def digest_bytes(servers: int) -> float:
+    """Count the bytes of one digest."""
+    rows = tuple(
+        BackendRow(f'{SERVICE}-{n}', 1, 1000, 1000, 50, BackendState.READY, 250)
+        for n in range(servers)
+    )
+    held = {row.backend_id: 1000 for row in rows}
+    digest = BackendDigest('balancer-1', rows, held)
+    return float(len(encode_message(digest)))
+
+
+def renewal_bytes(members: int) -> float:
+    """Count the bytes of a renewal and its lease, for all members."""
+    renewal = Renewal('', 'balancer-1', 1, 1e5, 1000, 1000, 1000)
+    lease = Lease('', 1, 1e5, 1000)
+    pair = len(encode_message(renewal)) + len(encode_message(lease))
+    return float(members * pair)
+
+
+def claim_bytes(members: int) -> float:
+    """Count the bytes of a claim and its grant, for all members."""
+    view = tuple(ViewMember(f'balancer-{n}', 1) for n in range(members))
+    claim = Claim('', 'balancer-1', 1, 1e5, 1000, view, True, 1000)
+    granted = Granted('', 'balancer-2', 1, 1e5, 1000, (), '', None)
+    pair = len(encode_message(claim)) + len(encode_message(granted))
+    return float(members * pair)
+
+
 def make_routing(entries: int) -> RoutingTable:
     """Make a table of services, each with one address."""
     names = [f'service-{number}' for number in range(entries)]
@@ -300,6 +339,9 @@
         (1, 10, 100),
         announcement_bytes,
     ),
+    Slope('digest bytes', 'servers', BYTES, (1, 10, 40), digest_bytes),
+    Slope('renewal bytes', 'members', BYTES, (2, 5, 8), renewal_bytes),
+    Slope('claim bytes', 'members', BYTES, (2, 5, 8), claim_bytes),
     Slope('table memory', 'entries', BYTES, (500, 5000, 37_000), table_memory),
     Slope(
         'install time', 'entries', SECONDS, (500, 5000, 37_000), install_seconds
