--- a/src/mustardhold/daemons/balancer_packets.py
+++ b/src/mustardhold/daemons/balancer_packets.py
@@ -38,15 +38,16 @@
     balancer: Balancer, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Act on a backend server's packet."""
-    take_backend_packet(balancer.tables, packet, outbox)
+    now = balancer.clock.monotonic()
+    take_backend_packet(balancer.tables, now, packet, outbox)
 
 
 def take_timed(
     balancer: Balancer, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Act on a packet that answers an opening or a request."""
-    take_backend_packet(balancer.tables, packet, outbox)
     now = balancer.clock.monotonic()
+    take_backend_packet(balancer.tables, now, packet, outbox)
     note_backend_packet(balancer.observations, now, packet)
 
 
--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -27,6 +27,7 @@
     Cancel,
     FlowEnded,
     Open,
+    Opened,
     Request,
     Shed,
 )
@@ -120,9 +121,18 @@
 
 
 def take_backend_packet(
-    tables: BalancerTables, packet: BackendPacket, outbox: Outbox
+    tables: BalancerTables,
+    now: float,
+    packet: BackendPacket,
+    outbox: Outbox,
 ) -> None:
-    """Pass a server's packet to the caller that its flow key names."""
+    """Pass a server's packet to the caller that its flow key names.
+
+    Answers are passed on however late; what tells of a flow is not, after a
+    freeze, since the flow may be somewhere else by then.
+    """
+    if isinstance(packet, Opened | FlowEnded) and is_stale(tables, now):
+        return
     note_backend_packet(tables, packet)
     if isinstance(packet, Answer):
         take_answer(tables, packet, outbox)
--- a/src/mustardhold/systems/owner_decisions.py
+++ b/src/mustardhold/systems/owner_decisions.py
@@ -11,7 +11,7 @@
 )
 from mustardhold.systems.opening import open_flow
 from mustardhold.systems.ownership import is_lease_live, owners_for
-from mustardhold.systems.records import end_flow
+from mustardhold.systems.records import end_flow, was_closed
 from mustardhold.systems.requests import take_cancel, take_request
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.flows import FlowRecord
@@ -79,7 +79,8 @@
     """
     service = bound_service(tables, packet.flow)
     placement = tables.placements.placements_by_pool.get(service or '')
-    if service is None or placement is None:
+    is_closed = was_closed(tables, packet.flow)
+    if service is None or placement is None or is_closed:
         refuse_unowned(tables, now, packet, outbox)
         return
     bucket = bucket_of(packet.flow)
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -30,7 +30,7 @@
     tick_renewal,
 )
 from mustardhold.systems.owner_decisions import decide_overdue, resolve_held
-from mustardhold.systems.records import forget_flow, take_chain
+from mustardhold.systems.records import forget_closed, forget_flow, take_chain
 from mustardhold.systems.request_messages import take_request_message
 from mustardhold.systems.transfers import (
     take_complete,
@@ -166,6 +166,7 @@
     ask_again(tables, now, outbox)
     decide_overdue(tables, now, outbox)
     drop_early(tables, now, outbox)
+    forget_closed(tables, now)
 
 
 def tick_membership(tables: BalancerTables, now: float, outbox: Outbox) -> None:
--- a/src/mustardhold/systems/records.py
+++ b/src/mustardhold/systems/records.py
@@ -2,6 +2,7 @@
 
 from mustardhold.systems.ownership import owners_for, raise_fence
 from mustardhold.tables.balancer import BalancerTables
+from mustardhold.tables.constants import CLOSED_PERIOD, MAX_CLOSED_FLOWS
 from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
 from mustardhold.tables.packets import Open
@@ -63,8 +64,35 @@
 def forget_flow(tables: BalancerTables, flow: bytes) -> None:
     """Drop a flow's record and its share of the server's flows."""
     record = tables.flows_by_key.pop(flow, None)
-    if record is None or not record.is_primary:
+    if record is None:
+        return
+    note_closed_flow(tables, flow)
+    if not record.is_primary:
         return
     known = tables.backends_by_id.get(record.backend_id)
     if known is not None:
         known.held_flows = max(known.held_flows - 1, 0)
+
+
+def note_closed_flow(tables: BalancerTables, flow: bytes) -> None:
+    """Keep for a while that a flow has ended: some packets come after."""
+    closed = tables.handover.closed
+    if len(closed) >= MAX_CLOSED_FLOWS:
+        tables.counters['', 'closed-flows-full'] += 1
+        return
+    closed.add(flow)
+
+
+def was_closed(tables: BalancerTables, flow: bytes) -> bool:
+    """Tell whether a flow ended lately."""
+    handover = tables.handover
+    return flow in handover.closed or flow in handover.closed_before
+
+
+def forget_closed(tables: BalancerTables, now: float) -> None:
+    """Forget the flows that ended some time ago."""
+    handover = tables.handover
+    if now - handover.closed_since >= CLOSED_PERIOD.total_seconds():
+        handover.closed_since = now
+        handover.closed_before = handover.closed
+        handover.closed = set()
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -22,6 +22,7 @@
 RELAY_HOPS: Final = 2
 PACKETS_PER_BATCH: Final = 64
 MAX_HELD_PER_FLOW: Final = 16
+MAX_CLOSED_FLOWS: Final = 16_384
 RECORDS_PER_PAGE: Final = 160
 HANDOVER_BYTES_PER_SECOND: Final = 1200
 
@@ -35,6 +36,7 @@
 FOUNDING_WAIT: Final = timedelta(seconds=1)
 ASK_INTERVAL: Final = timedelta(milliseconds=100)
 OVERTAKEN_HOLD: Final = timedelta(milliseconds=50)
+CLOSED_PERIOD: Final = timedelta(seconds=5)
 EARLY_HOLD: Final = timedelta(seconds=1)
 PAGE_TIMEOUT: Final = timedelta(milliseconds=300)
 FROZEN_AFTER: Final = timedelta(seconds=1)
--- a/src/mustardhold/tables/handover.py
+++ b/src/mustardhold/tables/handover.py
@@ -79,6 +79,8 @@
         all records of the buckets that it owns.
     transfers_by_member
         Records that other members have yet to acknowledge.
+    closed, closed_before
+        Flows that ended since ``closed_since``, and in the period before.
     """
 
     owner_since_by_bucket: dict[int, int] = field(default_factory=dict)
@@ -88,5 +90,8 @@
     held_by_flow: dict[bytes, HeldFlow] = field(default_factory=dict)
     held_packets: int = 0
     early: deque[EarlyPacket] = field(default_factory=deque)
+    closed: set[bytes] = field(default_factory=set)
+    closed_before: set[bytes] = field(default_factory=set)
+    closed_since: float = 0
     byte_allowance: float = 0
     allowance_at: float | None = None
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -49,7 +49,9 @@
     take_caller_packet: Callable[
         [BalancerTables, float, CallerPacket, Outbox], None
     ]
-    take_backend_packet: Callable[[BalancerTables, BackendPacket, Outbox], None]
+    take_backend_packet: Callable[
+        [BalancerTables, float, BackendPacket, Outbox], None
+    ]
     take_peer_message: Callable[
         [BalancerTables, float, PeerMessage, Outbox], None
     ]
@@ -281,7 +283,8 @@
             now = fleet.queue.now
             fleet.logic.take_caller_packet(tables, now, packet, outbox)
         else:
-            fleet.logic.take_backend_packet(tables, packet, outbox)
+            now = fleet.queue.now
+            fleet.logic.take_backend_packet(tables, now, packet, outbox)
         dispatch(fleet, name, outbox)
 
     send(fleet.network, sender, name, lambda: at_balancer(fleet, name, take))
--- a/tools/fakes/naive.py
+++ b/tools/fakes/naive.py
@@ -126,7 +126,7 @@
 
 
 def pass_backend_packet(
-    _: BalancerTables, packet: BackendPacket, outbox: Outbox
+    _: BalancerTables, now: float, packet: BackendPacket, outbox: Outbox
 ) -> None:
     """Pass a server's packet to its caller."""
     outbox.append(ToCaller(packet))
--- a/tools/fakes/naive_requests.py
+++ b/tools/fakes/naive_requests.py
@@ -82,12 +82,15 @@
             affinity.take_caller_packet(tables, now, packet, outbox)
 
     def take_backend_packet(
-        tables: BalancerTables, packet: BackendPacket, outbox: Outbox
+        tables: BalancerTables,
+        now: float,
+        packet: BackendPacket,
+        outbox: Outbox,
     ) -> None:
         if isinstance(packet, Answer | Shed):
             take_answer(tables, packet, outbox)
         else:
-            affinity.take_backend_packet(tables, packet, outbox)
+            affinity.take_backend_packet(tables, now, packet, outbox)
 
     def take_peer_message(
         tables: BalancerTables, now: float, message: PeerMessage, outbox: Outbox
