--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -27,6 +27,7 @@
     Cancel,
     FlowEnded,
     Open,
+    Opened,
     Request,
     Shed,
 )
@@ -127,13 +128,10 @@
 ) -> None:
     """Pass a server's packet to the caller that its flow key names.
 
-    Of what waited while we were frozen, only parts of answers are passed on:
-    their request's id tells the caller what they are for. An opening may have
-    been placed elsewhere since.
+    Answers are passed on however late; what tells of a flow is not, after a
+    freeze, since the flow may be somewhere else by then.
     """
-    if is_stale(tables, now):
-        if isinstance(packet, Answer):
-            outbox.append(ToCaller(packet))
+    if isinstance(packet, Opened | FlowEnded) and is_stale(tables, now):
         return
     note_backend_packet(tables, packet)
     if isinstance(packet, Answer):
