--- a/src/mustardhold/systems/deadlines.py
+++ b/src/mustardhold/systems/deadlines.py
@@ -102,6 +102,8 @@
         add_timer(tables, now + TICK.total_seconds(), key, Due.DEADLINE)
         return
     end_record(tables, record)
+    # A refusal that no last owner has confirmed is not certain.
+    record.refusal = ''
     is_late = now - record.deadline_at > TOLD_LATE_AT_MOST.total_seconds()
     if not is_late and tells_outcome(tables, record, now):
         tell_unknown(tables, record, 'deadline', outbox)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -322,3 +322,16 @@
     keys = {request_key(one.flow, one.request_id) for one in (packet, other)}
     assert len(keys) == 2
     assert len(ask(group, packet)) == 1
+
+
+def test_a_refusal_that_was_not_confirmed_is_never_called_not_run():
+    primary = make_tables(OWNERS[0])
+    outbox = []
+    take_request(primary, 0, make_request(), None, outbox)
+    run_request_timers(primary, 1.9, outbox)
+    take_request(primary, 1.95, make_request(), None, outbox)
+    told = [send for send in outbox if isinstance(send, ToCaller)]
+    assert outcomes(told) == [
+        ('Unknown', 'deadline'),
+        ('Unknown', 'already-forwarded'),
+    ]
