--- a/src/mustardhold/daemons/stopping.py
+++ b/src/mustardhold/daemons/stopping.py
@@ -6,7 +6,7 @@
 
 from mustardhold.daemons.balancer_state import Balancer
 from mustardhold.systems.readiness import is_finished
-from mustardhold.tables.constants import HTTP_GRACE, TICK
+from mustardhold.tables.constants import HTTP_GRACE, LEASE_LIFETIME, TICK
 
 
 async def stop_on_signal(stopping: trio.Event) -> None:
@@ -33,6 +33,8 @@
         await trio.sleep(options.withdrawal.total_seconds())
         while not is_finished(tables):
             await trio.sleep(TICK.total_seconds())
+        # Members may act on the view before for as long as their leases run.
+        await trio.sleep(LEASE_LIFETIME.total_seconds())
     if scope.cancelled_caught:
         tables.counters['', 'stop-bound-reached'] += 1
         balancer.log.warning('stop bound reached before all was finished')
--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,5 +1,7 @@
 """The way of a packet: to its bucket's base, or through its flow's owner."""
 
+import math
+
 from mustardhold.systems.answers import take_answer, take_shed
 from mustardhold.systems.freezing import is_stale
 from mustardhold.systems.health import note_backend_packet
@@ -62,8 +64,9 @@
 
 
 def awaits_view(tables: BalancerTables, now: float) -> bool:
-    """Tell whether a newer view is about to say who decides."""
-    return tables.stopping or now < tables.lease_until
+    """Tell whether a newer view or the first lease is about to come."""
+    is_first = tables.lease_until == -math.inf
+    return tables.stopping or is_first or now < tables.lease_until
 
 
 def refuse_without_lease(
--- a/src/mustardhold/systems/announcements.py
+++ b/src/mustardhold/systems/announcements.py
@@ -1,6 +1,7 @@
 """Backend servers that announce themselves to any balancer."""
 
 from mustardhold.systems.capacity import update_allowance
+from mustardhold.systems.joining import others_in_group
 from mustardhold.systems.slow_start import note_state
 from mustardhold.tables.backends import BackendServer, KnownBackend
 from mustardhold.tables.balancer import BalancerTables
@@ -125,6 +126,7 @@
     tables: BalancerTables, announced: BackendServer, outbox: Outbox
 ) -> None:
     """Pass an announcement to the other balancers of the group."""
-    for instance_id in tables.view.members_by_id:
-        if instance_id != tables.instance_id:
-            outbox.append(ToPeer(instance_id, BackendShared(announced)))
+    outbox.extend(
+        ToPeer(instance_id, BackendShared(announced))
+        for instance_id in others_in_group(tables)
+    )
--- a/src/mustardhold/systems/coordination.py
+++ b/src/mustardhold/systems/coordination.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterable
 
+from mustardhold.systems.joining import is_prepared
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import (
     CAMPAIGN_LIFETIME,
@@ -243,6 +244,8 @@
     """Tell whether to ask for the coordinator's lease now."""
     if tables.stopping or now < council.silent_until:
         return False
+    if not is_prepared(tables, now):
+        return False
     if now < council.coordinator_heard_at + GRANT_SECONDS:
         return False
     if council.promised_to == tables.instance_id:
--- a/src/mustardhold/systems/digests.py
+++ b/src/mustardhold/systems/digests.py
@@ -10,6 +10,7 @@
     judge_servers,
     note_closed,
 )
+from mustardhold.systems.joining import others_in_group
 from mustardhold.systems.slow_start import update_open_share
 from mustardhold.tables.backends import (
     BackendRow,
@@ -69,9 +70,7 @@
         tables.backends_by_id[backend_id].held_told = held
     digest = BackendDigest(tables.instance_id, rows, held_by_id)
     outbox.extend(
-        ToPeer(instance_id, digest)
-        for instance_id in tables.view.members_by_id
-        if instance_id != tables.instance_id
+        ToPeer(instance_id, digest) for instance_id in others_in_group(tables)
     )
 
 
--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -18,6 +18,7 @@
     members_of,
     resign,
 )
+from mustardhold.systems.joining import is_prepared
 from mustardhold.systems.placement import plan_placements, report_buckets
 from mustardhold.systems.views import install_view
 from mustardhold.tables.balancer import BalancerTables
@@ -37,6 +38,8 @@
     membership = tables.membership
     if membership is None or tables.stopping or now < council.next_renewal_at:
         return
+    if not is_prepared(tables, now):
+        return
     coordinator = council.coordinator_id
     if now >= council.coordinator_heard_at + GRANT_SECONDS:
         return
--- a/src/mustardhold/systems/request_chain.py
+++ b/src/mustardhold/systems/request_chain.py
@@ -31,7 +31,9 @@
 ) -> None:
     """Store a request as one of its owners and pass it on."""
     note_view(tables, now)
-    if chain.epoch != tables.view.epoch or not is_lease_live(tables, now):
+    # One that leaves still passes requests on: the other owners have them too.
+    may_act = tables.stopping or is_lease_live(tables, now)
+    if chain.epoch != tables.view.epoch or not may_act:
         tables.counters[chain.service, 'request-chain-stale'] += 1
         return
     record = store_from_chain(tables, now, chain)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -37,11 +37,18 @@
 
 @dataclass(slots=True)
 class Result:
-    """What became of one request."""
+    """What became of one request.
+
+    Attributes
+    ----------
+    reason
+        Why it was not answered, as far as a balancer told.
+    """
 
     request_id: str
     outcome: str
     body: bytes = b''
+    reason: str = ''
 
 
 async def connect(
@@ -114,7 +121,8 @@
             outcome = note_answer(flow, fields, request_id, parts)
             if outcome:
                 body = b''.join(parts[part] for part in sorted(parts))
-                return Result(request_id.hex(), outcome, body)
+                reason = '' if outcome == 'answered' else str(fields[3])
+                return Result(request_id.hex(), outcome, body, reason)
     return Result(request_id.hex(), 'timeout')
 
 
