--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,7 +1,5 @@
 """The way of a packet: to its bucket's base, or through its flow's owner."""
 
-import math
-
 from mustardhold.systems.answers import take_answer, take_shed
 from mustardhold.systems.freezing import is_stale
 from mustardhold.systems.health import note_backend_packet
@@ -18,6 +16,7 @@
     raise_fence,
 )
 from mustardhold.systems.records import end_flow
+from mustardhold.systems.request_chain import retake_chains
 from mustardhold.systems.requests import answer_without_lease
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import RELAY_HOPS
@@ -65,9 +64,8 @@
 
 
 def awaits_view(tables: BalancerTables, now: float) -> bool:
-    """Tell whether a newer view or the first lease is about to come."""
-    is_first = tables.lease_until == -math.inf
-    return tables.stopping or is_first or now < tables.lease_until
+    """Tell whether a newer view is about to say who decides."""
+    return tables.stopping or now < tables.lease_until
 
 
 def refuse_without_lease(
@@ -115,6 +113,7 @@
     """Decide again on held packets, after a change of the view."""
     for one in release_early(tables, now):
         take_caller_packet(tables, now, one.packet, outbox, one.hops)
+    retake_chains(tables, now, outbox)
 
 
 def drop_early(tables: BalancerTables, now: float, outbox: Outbox) -> None:
--- a/src/mustardhold/systems/request_chain.py
+++ b/src/mustardhold/systems/request_chain.py
@@ -11,6 +11,7 @@
     note_told,
 )
 from mustardhold.systems.completeness import is_complete, note_view
+from mustardhold.systems.early_chains import hold_chain, release_chains
 from mustardhold.systems.ownership import is_lease_live
 from mustardhold.systems.request_records import (
     add_record,
@@ -30,6 +31,9 @@
     tables: BalancerTables, now: float, chain: RequestChain, outbox: Outbox
 ) -> None:
     """Store a request as one of its owners and pass it on."""
+    if chain.epoch > tables.view.epoch:
+        hold_chain(tables, now, chain)
+        return
     note_view(tables, now)
     # One that leaves still passes requests on: the other owners have them too.
     may_act = tables.stopping or is_lease_live(tables, now)
@@ -52,6 +56,12 @@
     pass_request(tables, rest, record, outbox)
 
 
+def retake_chains(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Take the requests again that waited for a newer view."""
+    for chain in list(release_chains(tables, now)):
+        take_request_chain(tables, now, chain, outbox)
+
+
 def is_vouched_here(
     tables: BalancerTables, now: float, chain: RequestChain
 ) -> bool:
--- a/src/mustardhold/tables/requests.py
+++ b/src/mustardhold/tables/requests.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mustardhold.tables.packets import Request
+from mustardhold.tables.request_messages import RequestChain
 
 
 class RequestState(StrEnum):
@@ -159,6 +160,9 @@
     handed_over
         Keys of requests of earlier owners, and the local monotonic reading
         at which each is forgotten, by bucket.
+    early_chains
+        Requests of a newer view, each with the local monotonic reading up to
+        which it waits.
     asks
         Questions sent for the requests of earlier owners.
     """
@@ -175,3 +179,6 @@
     handed_over: dict[int, dict[bytes, float]] = field(default_factory=dict)
     asks: int = 0
     history: OwnerHistory = field(default_factory=OwnerHistory)
+    early_chains: deque[tuple[float, RequestChain]] = field(
+        default_factory=deque
+    )
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,160 +1,159 @@
-"""Starts the whole path, serves requests and edits a pool live."""
+"""Starts the whole path, serves callers, and changes it under them.
 
+For each deployment: control replicas, balancers, a fabric and backend
+servers as processes. While callers are served, an operator drains a backend
+server. Exits 0 only if every promise held.
+"""
+
+import argparse
+import functools
 import sys
 import tempfile
-from collections import Counter
-from dataclasses import dataclass, field
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
-import msgspec
 import trio
 
-from mustardhold.tables.routing import Pool
-from standins import caller
+from mustardhold.tables.outcomes import Ok
+from mustardhold.tables.routing import Accepted, Pool
 from tools import processes
+from tools.demo_report import (
+    Endings,
+    count_breaches,
+    print_breaches,
+    print_columns,
+    table_rows,
+)
+from tools.demo_traffic import Session, Traffic, run_session
 from tools.running_path import (
     HA_NGOC,
     SEEWINKEL,
     Deployment,
     RunningPath,
     put_entry,
+    read_status,
     serve_deployment,
     start_path,
 )
 
-FLOWS_PER_SERVICE = 20
-REQUESTS_PER_FLOW = 6
-PAUSE_SECONDS = 0.05
+BALANCERS = 3
+CONTROLS = 3
+FLOWS_PER_WAVE = 16
+SERVED_SECONDS = 1.0
+NO_NEW_WORK_SECONDS = 3.0
+POLL_SECONDS = 0.02
+MAX_IN_FORCE_SECONDS = 10.0
 
 
 @dataclass(slots=True)
-class Tally:
-    """What the callers saw."""
+class Changes:
+    """What the operator's changes came to."""
+
+    in_force_seconds: float = 0
+
+
+def tell(text: str) -> None:
+    """Print a step of the demo."""
+    print(f'   {text}', flush=True)
 
-    outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
-    not_run: set[str] = field(default_factory=set)
-    wrong_answers: int = 0
-    broken_flows: int = 0
 
+def drained_host(deployment: Deployment) -> str:
+    """Choose the backend server that is drained."""
+    return f'{next(iter(deployment.hosts_by_service))}-1'
 
-class Report(msgspec.Struct):
-    """What a backend server saw, as it prints it when it stops."""
 
-    foreign_packets: int
-    runs_by_request: dict[str, int]
+def drain_host(path: RunningPath, deployment: Deployment) -> float:
+    """Drain a host; return the seconds until every balancer knows."""
+    host = drained_host(deployment)
+    started = time.monotonic()
+    sent = put_entry(path, Pool(host.rpartition('-')[0], drained=(host,)))
+    assert isinstance(sent, Ok)
+    assert isinstance(sent.value, Accepted), sent
+    version = sent.value.version
+    while time.monotonic() - started < MAX_IN_FORCE_SECONDS:
+        statuses = [read_status(one) for one in path.balancer_https()]
+        if all(one and one.table_version >= version for one in statuses):
+            break
+        time.sleep(POLL_SECONDS)
+    return time.monotonic() - started
 
 
-async def use_service(
-    path: RunningPath, service: str, address: str, tally: Tally
+def start_wave(
+    nursery: trio.Nursery,
+    path: RunningPath,
+    deployment: Deployment,
+    traffic: Traffic,
+    wave: int,
 ) -> None:
-    """Open a flow and send requests on it, the odd ones non-idempotent."""
-    flow = await caller.connect(
-        path.fabric, service, address, processes.LOOPBACK
-    )
-    if not flow.backend_ids:
-        tally.outcomes[service, f'open refused: {flow.refused}'] += 1
-        return
-    for number in range(REQUESTS_PER_FLOW):
-        payload = f'{service} order {number}'.encode()
-        answer = await caller.request(flow, payload, idempotent=number % 2 == 0)
-        tally.outcomes[service, answer.outcome] += 1
-        if answer.outcome == 'not-run':
-            tally.not_run.add(answer.request_id)
-        expected = b'%s %s' % (service.encode(), payload)
-        if answer.outcome == 'answered' and answer.body != expected:
-            tally.wrong_answers += 1
-        if not await caller.upload(flow, b'still here'):
-            tally.outcomes[service, 'feed silent'] += 1
-        await trio.sleep(PAUSE_SECONDS)
-    if flow.ended or len(flow.backend_ids) > 1:
-        tally.broken_flows += 1
-    await caller.close(flow)
-
-
-async def serve(path: RunningPath, deployment: Deployment) -> Tally:
-    """Serve callers of every service while an operator edits a pool."""
-    tally = Tally()
+    """Start sessions of every service."""
+    for service, address in deployment.address_by_service.items():
+        for number in range(FLOWS_PER_WAVE):
+            session = Session(service, wave, f'{service} {wave} {number}')
+            nursery.start_soon(run_session, path, traffic, session, address)
+
+
+async def serve(
+    path: RunningPath, deployment: Deployment, traffic: Traffic
+) -> Changes:
+    """Serve callers of every service while the operator changes things."""
+    changes = Changes()
+    in_thread = trio.to_thread.run_sync
     async with trio.open_nursery() as nursery:
-        for service, address in deployment.address_by_service.items():
-            for _ in range(FLOWS_PER_SERVICE):
-                nursery.start_soon(use_service, path, service, address, tally)
-        await trio.sleep(PAUSE_SECONDS)
-        edited = next(iter(deployment.hosts_by_service))
-        drained = Pool(edited, drained=(f'{edited}-1',))
-        sent = await trio.to_thread.run_sync(put_entry, path, drained)
-        print(f'  drained {edited}-1 while callers were served: {sent}')
-    return tally
-
-
-def read_reports(endings: dict[str, tuple[int, str]]) -> list[Report]:
-    """Read what the backend servers printed when they stopped."""
-    return [
-        msgspec.json.decode(output.splitlines()[-1], type=Report)
-        for _, output in endings.values()
-        if output.strip()
-    ]
-
-
-def count_faults(
-    tally: Tally, endings: dict[str, tuple[int, str]]
-) -> dict[str, int]:
-    """Count each kind of broken promise."""
-    reports = read_reports(endings)
-    runs: Counter[str] = Counter()
-    for report in reports:
-        runs.update(report.runs_by_request)
-    unanswered = (
-        count
-        for (_, outcome), count in tally.outcomes.items()
-        if outcome != 'answered'
-    )
-    return {
-        'broken flows': tally.broken_flows,
-        'wrong answers': tally.wrong_answers,
-        'requests run twice': sum(1 for count in runs.values() if count > 1),
-        'not run, but ran': len(tally.not_run & set(runs)),
-        'packets at a foreign server': sum(
-            report.foreign_packets for report in reports
-        ),
-        'requests not answered': sum(unanswered),
-        'programs that stopped badly': sum(
-            1
-            for name, (code, _) in endings.items()
-            if code and name != 'fabric'
-        ),
-    }
-
-
-def judge(
-    deployment: Deployment,
-    tally: Tally,
-    endings: dict[str, tuple[int, str]],
-) -> bool:
-    """Print the table of outcomes and tell whether every promise held."""
-    print(f'\n{deployment.name}')
-    for (service, outcome), count in sorted(tally.outcomes.items()):
-        print(f'  {service:<12} {outcome:<24} {count:>6}')
-    faults = count_faults(tally, endings)
-    for name, count in faults.items():
-        print(f'  {name:<37} {count:>6}')
-    return not any(faults.values())
+        start_wave(nursery, path, deployment, traffic, 1)
+        await trio.sleep(SERVED_SECONDS)
+        host = drained_host(deployment)
+        changes.in_force_seconds = await in_thread(drain_host, path, deployment)
+        tell(
+            f'drained {host}: in force on every balancer after '
+            f'{changes.in_force_seconds:.2f} s'
+        )
+        await trio.sleep(NO_NEW_WORK_SECONDS)
+        start_wave(nursery, path, deployment, traffic, 2)
+        await trio.sleep(SERVED_SECONDS)
+        traffic.ending.set()
+    return changes
 
 
 def run_deployment(deployment: Deployment) -> bool:
-    """Run the demo of one deployment."""
+    """Run the demo of one deployment; tell whether every promise held."""
+    print(f'\n{deployment.name}, {deployment.data_centre}')
+    traffic = Traffic()
     with tempfile.TemporaryDirectory() as folder:
         fleet = processes.Fleet(Path(folder))
         try:
-            path = start_path(fleet, deployment)
-            serve_deployment(path, deployment)
-            tally = trio.run(serve, path, deployment)
+            changes = run_path(fleet, deployment, traffic)
         finally:
-            endings = processes.stop_all(fleet)
-        return judge(deployment, tally, endings)
+            ended = processes.stop_all(fleet)
+    endings = Endings(ended, changes.in_force_seconds)
+    print()
+    print_columns(table_rows(traffic.sessions, deployment.hosts_by_service))
+    print()
+    host = drained_host(deployment)
+    return print_breaches(count_breaches(traffic.sessions, endings, host))
+
+
+def run_path(
+    fleet: processes.Fleet, deployment: Deployment, traffic: Traffic
+) -> Changes:
+    """Start everything and serve callers."""
+    hosts = sum(deployment.hosts_by_service.values())
+    tell(
+        f'starting {CONTROLS} control replicas, {BALANCERS} balancers, '
+        f'a fabric and {hosts} backend servers'
+    )
+    path = start_path(fleet, deployment, BALANCERS, CONTROLS)
+    serve_deployment(path, deployment)
+    services = ' and '.join(deployment.address_by_service)
+    tell(f'serving {services}, {FLOWS_PER_WAVE} flows each and again')
+    return trio.run(functools.partial(serve, path, deployment, traffic))
 
 
-def main() -> int:
+def main(argv: Sequence[str] | None = None) -> int:
     """Run both deployments; exit 0 only if all promises held."""
+    parser = argparse.ArgumentParser('./run demo', description=__doc__)
+    parser.parse_args(argv)
     held = [run_deployment(deployment) for deployment in (SEEWINKEL, HA_NGOC)]
     print('\nall promises held' if all(held) else '\na promise was broken')
     return 0 if all(held) else 1
--- a/tools/running_path.py
+++ b/tools/running_path.py
@@ -13,7 +13,7 @@
     send_edit,
 )
 from mustardhold.tables.outcomes import Ok, Outcome
-from mustardhold.tables.routing import Pool, Route
+from mustardhold.tables.routing import Accepted, Pool, Route
 from mustardhold.tables.status import BalancerStatus
 from tools import processes
 
@@ -60,12 +60,15 @@
         HTTP addresses of the control replicas.
     settings_by_balancer
         Settings of each balancer, to start it again.
+    table_version
+        Version that holds every service.
     """
 
     fleet: processes.Fleet
     fabric: str
     controls: list[str]
     settings_by_balancer: dict[str, Settings] = field(default_factory=dict)
+    table_version: int = 0
 
     def http_of(self, name: str) -> str:
         """Find the HTTP address of a balancer."""
@@ -193,11 +196,33 @@
     return send_edit(path.controls, make_edit(table.value, entry, None))
 
 
+def put_accepted(path: RunningPath, entry: Route | Pool) -> int:
+    """Edit an entry, again until the replicas have a leader.
+
+    Returns
+    -------
+    int
+        Version of the table with the edit.
+
+    Raises
+    ------
+    TimeoutError
+        If no replica accepts it within ``SERVING_SECONDS``.
+    """
+    deadline = time.monotonic() + SERVING_SECONDS
+    while time.monotonic() < deadline:
+        sent = put_entry(path, entry)
+        if isinstance(sent, Ok) and isinstance(sent.value, Accepted):
+            return sent.value.version
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f'{entry.name} was not accepted: {sent}')
+
+
 def serve_deployment(path: RunningPath, deployment: Deployment) -> None:
     """Make a route and a pool of each service; wait until they are served."""
     for service, address in deployment.address_by_service.items():
-        put_entry(path, Route(service, (address,)))
-        put_entry(path, Pool(service))
+        put_accepted(path, Route(service, (address,)))
+        path.table_version = put_accepted(path, Pool(service))
     wait_serving(path, sum(deployment.hosts_by_service.values()))
 
 
@@ -215,6 +240,8 @@
     status = read_status(path.http_of(name))
     if status is None or not status.is_ready:
         return False
+    if status.table_version < path.table_version:
+        return False
     has_lease = status.lease_left is None or status.lease_left > 0
     is_whole = len(status.members) == len(path.settings_by_balancer)
     return has_lease and is_whole and len(status.backends) >= servers
