Send placements as differences, and let members leave without a majority

A stopping member waited out the stop bound where no majority was left, and did not grant the claims that its own leave needed. A member asked all others for each flow that it lacked.

--- a/src/mustardhold/systems/coordination.py
+++ b/src/mustardhold/systems/coordination.py
@@ -7,6 +7,11 @@
 import math
 from collections.abc import Iterable
 
+from mustardhold.systems.placement_updates import (
+    EMPTY,
+    apply_update,
+    make_update,
+)
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import (
     CAMPAIGN_LIFETIME,
@@ -120,7 +125,7 @@
 ) -> None:
     """Grant a claim unless another candidate holds an unexpired grant."""
     council = council_of(tables, claim.scope)
-    if council is None or tables.stopping:
+    if council is None:
         return
     if claim.candidate_id not in council.voters:
         return
@@ -151,7 +156,7 @@
         council.known_epoch,
         council.known_members if is_newer else (),
         council.previous_id,
-        tables.placements if has_newer else None,
+        make_update(EMPTY, tables.placements) if has_newer else None,
     )
     outbox.append(ToPeer(claim.candidate_id, granted))
 
@@ -177,9 +182,10 @@
     if council.is_coordinator:
         return
     council.previous_ids.add(granted.previous_id)
-    placements = granted.placements
-    if placements and placements.version > tables.placements.version:
-        tables.placements = placements
+    update = granted.placements
+    if update and update.version > tables.placements.version:
+        newer = apply_update(tables.placements, update)
+        tables.placements = newer or tables.placements
     if now >= coordinator_until(council):
         return
     become_coordinator(tables, membership, council, now)
@@ -198,6 +204,7 @@
     """
     council.is_coordinator = True
     council.elected_at = now
+    council.placements_before = EMPTY
     council.next_claim_at = now
     council.view = None
     tables.counters['', 'coordinator-elected'] += 1
--- a/src/mustardhold/systems/handover.py
+++ b/src/mustardhold/systems/handover.py
@@ -34,6 +34,11 @@
         for bucket, owners in owners_before.items()
     }
     is_complete = tables.instance_id in complete
+    tables.handover.knower_by_bucket = {
+        bucket: holders[0]
+        for bucket, holders in holders_by_bucket.items()
+        if holders and holders[0] == first_owner(before, bucket)
+    }
     note_new_buckets(tables, owners_before, is_complete=is_complete)
     tables.handover.transfers_by_member = plan_transfers(
         tables, holders_by_bucket
@@ -41,6 +46,11 @@
     recount_primaries(tables)
 
 
+def first_owner(view: View, bucket: int) -> str:
+    """Find the primary owner of a bucket in some view."""
+    return owners_of(bucket, view.members_by_id)[0]
+
+
 def surviving_members(before: View, after: View) -> set[str]:
     """List the members that kept their records from one view to the next.
 
@@ -97,6 +107,13 @@
     return missing
 
 
+def members_to_ask(tables: BalancerTables, bucket: int) -> set[str]:
+    """List the members whose answers together settle where a flow is."""
+    missing = missing_members(tables, bucket)
+    knower = tables.handover.knower_by_bucket.get(bucket)
+    return {knower} if knower in missing else missing
+
+
 def plan_transfers(
     tables: BalancerTables, holders_by_bucket: dict[int, Owners]
 ) -> dict[str, Transfer]:
--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -1,7 +1,5 @@
 """Leases of members: asked for by each, given by the coordinator."""
 
-import math
-
 import msgspec
 
 from mustardhold.systems.bindings import update_bindings
@@ -16,15 +14,20 @@
     is_coordinating,
     make_view,
     members_of,
-    resign,
 )
 from mustardhold.systems.placement import plan_placements, report_buckets
+from mustardhold.systems.placement_updates import (
+    EMPTY,
+    apply_update,
+    make_update,
+)
 from mustardhold.systems.views import install_view
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import FOUNDING_WAIT
 from mustardhold.tables.coordination import Council, MemberLease, Membership
 from mustardhold.tables.outbox import Outbox, ToPeer
-from mustardhold.tables.peers import Lease, Leave, NewView, Renewal
+from mustardhold.tables.peers import Lease, NewView, Renewal
+from mustardhold.tables.placement import PlacementUpdate
 from mustardhold.tables.views import ViewMember
 
 FOUNDING_SECONDS = FOUNDING_WAIT.total_seconds()
@@ -67,7 +70,10 @@
         view = make_view(membership, lease.epoch, lease.members)
         install_view(tables, view)
     if lease.placements is not None:
-        tables.placements = lease.placements
+        placements = apply_update(tables.placements, lease.placements)
+        if placements is None:
+            return
+        tables.placements = placements
     tables.lease_until = max(tables.lease_until, lease.sent_at + LEASE_SECONDS)
 
 
@@ -116,30 +122,27 @@
     named = view.incarnations_by_id.get(renewal.member_id)
     if named != renewal.incarnation:
         return
-    is_behind = renewal.placement_version != tables.placements.version
     lease = Lease(
         council.scope,
         renewal.incarnation,
         renewal.sent_at,
         view.epoch,
         members_of(view) if renewal.epoch < view.epoch else (),
-        tables.placements if is_behind else None,
+        update_for(tables, council, renewal.placement_version),
     )
     outbox.append(ToPeer(renewal.member_id, lease))
 
 
-def take_leave(tables: BalancerTables, now: float, leave: Leave) -> None:
-    """Free the grant of a sender that has stopped, and take it out."""
-    council = council_of(tables, leave.scope)
-    if council is None:
-        return
-    if council.promised_to == leave.member_id:
-        council.promised_until = min(council.promised_until, now)
-    if council.coordinator_id == leave.member_id:
-        council.coordinator_heard_at = -math.inf
-    held = council.leases_by_id.get(leave.member_id)
-    if held is not None and held.incarnation <= leave.incarnation:
-        council.leases_by_id.pop(leave.member_id)
+def update_for(
+    tables: BalancerTables, council: Council, version: int
+) -> PlacementUpdate | None:
+    """Describe what a member with some version lacks, if anything."""
+    if version == tables.placements.version:
+        return None
+    before = council.placements_before
+    if version == before.version:
+        return make_update(before, tables.placements)
+    return make_update(EMPTY, tables.placements)
 
 
 def take_new_view(tables: BalancerTables, now: float, message: NewView) -> None:
@@ -177,41 +180,8 @@
     tables.placements = plan_placements(tables, now, acknowledged)
     if tables.placements is before:
         update_bindings(tables, acknowledged)
-
-
-def tick_leave(
-    tables: BalancerTables, council: Council, now: float, outbox: Outbox
-) -> None:
-    """Give the lease back before a planned stop.
-
-    A coordinator first puts a view in force that does not name it.
-    """
-    membership = tables.membership
-    if membership is None or not tables.stopping:
-        return
-    if tables.lease_until > -math.inf:
-        tables.lease_until = -math.inf
-        council.next_renewal_at = now
-    if is_coordinating(council, now):
-        is_named = council.view is None or (
-            tables.instance_id in council.view.members_by_id
-        )
-        if is_named and council.leases_by_id:
-            return
-        resign(tables, council)
-    if now < council.next_renewal_at:
-        return
-    council.next_renewal_at = now + RENEWAL_SECONDS
-    leave = Leave(council.scope, tables.instance_id, membership.incarnation)
-    for voter in council.voters:
-        if voter != tables.instance_id:
-            outbox.append(ToPeer(voter, leave))
-
-
-def has_left(tables: BalancerTables) -> bool:
-    """Tell whether no view in force names this balancer."""
-    view = tables.view
-    return view.epoch == 0 or tables.instance_id not in view.members_by_id
+    if tables.placements is not before:
+        council.placements_before = before
 
 
 def drop_silent(tables: BalancerTables, council: Council, now: float) -> None:
--- a/src/mustardhold/systems/owner_decisions.py
+++ b/src/mustardhold/systems/owner_decisions.py
@@ -1,7 +1,7 @@
 """What the primary owner of a bucket decides on callers' packets."""
 
 from mustardhold.systems.bindings import bound_service, settled_service
-from mustardhold.systems.handover import missing_members, store_record
+from mustardhold.systems.handover import members_to_ask, store_record
 from mustardhold.systems.hashing import bucket_of
 from mustardhold.systems.holding import (
     hold_packet,
@@ -57,9 +57,9 @@
     if settled_base(tables, packet.flow):
         use_base(tables, now, packet, outbox)
         return
-    missing = missing_members(tables, bucket_of(packet.flow))
-    if missing:
-        hold_packet(tables, now, packet, missing, outbox)
+    asked = members_to_ask(tables, bucket_of(packet.flow))
+    if asked:
+        hold_packet(tables, now, packet, asked, outbox)
     elif isinstance(packet, Open):
         open_flow(tables, packet, None, owners, outbox)
         forward_held(tables, now, packet.flow, outbox)
--- a/src/mustardhold/systems/ownership.py
+++ b/src/mustardhold/systems/ownership.py
@@ -30,6 +30,13 @@
     return membership is None or membership.fence_epoch <= tables.view.epoch
 
 
+def newest_epoch(tables: BalancerTables) -> int:
+    """Find the highest epoch of a view that this balancer has seen."""
+    membership = tables.membership
+    fence = membership.fence_epoch if membership else 0
+    return max(fence, tables.view.epoch)
+
+
 def raise_fence(tables: BalancerTables, epoch: int) -> bool:
     """Stop acting on a view that is older than one a message has shown.
 
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -22,13 +22,12 @@
 from mustardhold.systems.leases import (
     advance_view,
     take_lease,
-    take_leave,
     take_new_view,
     take_renewal,
-    tick_leave,
     tick_placements,
     tick_renewal,
 )
+from mustardhold.systems.leaving import take_leave, tick_leave
 from mustardhold.systems.owner_decisions import decide_overdue, resolve_held
 from mustardhold.systems.records import forget_closed, forget_flow, take_chain
 from mustardhold.systems.request_messages import take_request_message
--- /dev/null
+++ b/src/mustardhold/systems/placement_updates.py
@@ -0,0 +1,114 @@
+"""Placements as differences from the version that a member has."""
+
+import msgspec
+
+from mustardhold.tables.constants import BUCKETS_PER_POOL
+from mustardhold.tables.placement import (
+    Placement,
+    PlacementSet,
+    PlacementUpdate,
+    PoolUpdate,
+)
+
+MOVING = 1
+OPENED_ELSEWHERE = 2
+ROW_BYTES = 4
+EMPTY = PlacementSet()
+
+
+def make_update(before: PlacementSet, after: PlacementSet) -> PlacementUpdate:
+    """Describe what changed from one version to another."""
+    pools = after.placements_by_pool
+    return PlacementUpdate(
+        before.version,
+        after.version,
+        tuple(
+            make_pool_update(before.placements_by_pool.get(name), placement)
+            for name, placement in pools.items()
+            if before.placements_by_pool.get(name) != placement
+        ),
+        tuple(name for name in before.placements_by_pool if name not in pools),
+        None if after.bindings == before.bindings else after.bindings,
+    )
+
+
+def flags_of(placement: Placement, bucket: int) -> int:
+    """Pack the state of a bucket."""
+    flags = MOVING if bucket in placement.moving else 0
+    if bucket in placement.opened_elsewhere:
+        flags |= OPENED_ELSEWHERE
+    return flags
+
+
+def make_pool_update(before: Placement | None, after: Placement) -> PoolUpdate:
+    """Describe the buckets of one pool that changed."""
+    changed = [
+        bucket
+        for bucket in range(BUCKETS_PER_POOL)
+        if before is None
+        or before.bases[bucket] != after.bases[bucket]
+        or flags_of(before, bucket) != flags_of(after, bucket)
+    ]
+    names = tuple(sorted({after.bases[bucket] for bucket in changed}))
+    number_by_name = {name: number for number, name in enumerate(names)}
+    rows = bytearray()
+    for bucket in changed:
+        number = number_by_name[after.bases[bucket]]
+        rows.append(bucket)
+        rows.extend(number.to_bytes(2))
+        rows.append(flags_of(after, bucket))
+    return PoolUpdate(after.pool, names, bytes(rows))
+
+
+def apply_update(
+    before: PlacementSet, update: PlacementUpdate
+) -> PlacementSet | None:
+    """Make the newer version; nothing where the update is for another one."""
+    if update.since_version == EMPTY.version:
+        before = EMPTY
+    if update.since_version != before.version:
+        return None
+    pools = dict(before.placements_by_pool)
+    for name in update.removed:
+        pools.pop(name, None)
+    for changed in update.pools:
+        pools[changed.pool] = apply_pool_update(
+            pools.get(changed.pool), changed
+        )
+    return PlacementSet(
+        update.version,
+        pools,
+        before.bindings if update.bindings is None else update.bindings,
+    )
+
+
+def apply_pool_update(
+    before: Placement | None, update: PoolUpdate
+) -> Placement:
+    """Change the buckets that an update names."""
+    empty = Placement(
+        update.pool, ('',) * BUCKETS_PER_POOL, frozenset(), frozenset()
+    )
+    placement = empty if before is None else before
+    bases = list(placement.bases)
+    moving = set(placement.moving)
+    elsewhere = set(placement.opened_elsewhere)
+    for start in range(0, len(update.rows), ROW_BYTES):
+        bucket, high, low, flags = update.rows[start : start + ROW_BYTES]
+        bases[bucket] = update.names[int.from_bytes((high, low))]
+        put_member(moving, bucket, is_in=bool(flags & MOVING))
+        put_member(elsewhere, bucket, is_in=bool(flags & OPENED_ELSEWHERE))
+    return msgspec.structs.replace(
+        placement,
+        bases=tuple(bases),
+        moving=frozenset(moving),
+        opened_elsewhere=frozenset(elsewhere),
+    )
+
+
+def put_member(buckets: set[int], bucket: int, *, is_in: bool) -> None:
+    """Put a bucket into a set, or take it out."""
+    if is_in:
+        buckets.add(bucket)
+    else:
+        buckets.discard(bucket)
--- a/src/mustardhold/systems/readiness.py
+++ b/src/mustardhold/systems/readiness.py
@@ -1,6 +1,6 @@
 """Whether the fabric may hand packets to a balancer."""
 
-from mustardhold.systems.leases import has_left
+from mustardhold.systems.leaving import has_left
 from mustardhold.systems.ownership import is_lease_live
 from mustardhold.tables.balancer import BalancerTables
 
--- a/src/mustardhold/systems/records.py
+++ b/src/mustardhold/systems/records.py
@@ -1,6 +1,6 @@
 """Records of flows at the owners of their bucket."""
 
-from mustardhold.systems.ownership import owners_for, raise_fence
+from mustardhold.systems.ownership import newest_epoch, owners_for, raise_fence
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import CLOSED_PERIOD, MAX_CLOSED_FLOWS
 from mustardhold.tables.flows import FlowRecord
@@ -32,7 +32,7 @@
     may already have been told that the flow is not known here.
     """
     raise_fence(tables, chain.epoch)
-    if chain.epoch < tables.view.epoch or now >= tables.lease_until:
+    if chain.epoch < newest_epoch(tables) or now >= tables.lease_until:
         tables.counters[chain.service, 'chain-outdated'] += 1
         return
     known = tables.flows_by_key.get(chain.flow)
--- a/src/mustardhold/tables/coordination.py
+++ b/src/mustardhold/tables/coordination.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from mustardhold.tables.placement import PlacementSet
 from mustardhold.tables.views import Member, View, ViewMember
 
 
@@ -51,6 +52,8 @@
         When this balancer last became coordinator.
     proposed_at
         When ``proposed`` was put into a claim for the first time.
+    placements_before
+        The version before the one in force.
     view
         The view under which this coordinator gives leases.
     """
@@ -76,6 +79,7 @@
     proposed: View | None = None
     proposed_at: float = -math.inf
     view: View | None = None
+    placements_before: PlacementSet = field(default_factory=PlacementSet)
     leases_by_id: dict[str, MemberLease] = field(default_factory=dict)
 
 
@@ -95,6 +99,8 @@
         Up to when packets may have waited while this balancer was frozen.
     fence_epoch
         Highest epoch that a message has shown; an older view is not acted on.
+    has_given_up
+        Whether this balancer stops, and no coordinator takes its leave.
     """
 
     incarnation: int
@@ -104,3 +110,4 @@
     active_at: float
     discard_until: float = -math.inf
     fence_epoch: int = 0
+    has_given_up: bool = False
--- a/src/mustardhold/tables/handover.py
+++ b/src/mustardhold/tables/handover.py
@@ -72,6 +72,9 @@
     owner_since_by_bucket
         Epoch since which this balancer lacks records of a bucket that it
         owns; 0 if it has them all.
+    knower_by_bucket
+        Member that alone has placed a bucket's flows up to this view, and
+        knows them all.
     done_by_member
         Epoch for which each member has sent all records that concern us.
     complete_by_member
@@ -84,6 +87,7 @@
     """
 
     owner_since_by_bucket: dict[int, int] = field(default_factory=dict)
+    knower_by_bucket: dict[int, str] = field(default_factory=dict)
     done_by_member: dict[str, int] = field(default_factory=dict)
     complete_by_member: dict[str, int] = field(default_factory=dict)
     transfers_by_member: dict[str, Transfer] = field(default_factory=dict)
--- a/src/mustardhold/tables/placement.py
+++ b/src/mustardhold/tables/placement.py
@@ -58,6 +58,41 @@
     bindings: Bindings = Bindings()
 
 
+class PoolUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Buckets of one pool that changed.
+
+    Attributes
+    ----------
+    rows
+        For each bucket its number, the place of its base server in
+        ``names`` as two bytes, and its state.
+    """
+
+    pool: str
+    names: tuple[str, ...]
+    rows: bytes
+
+
+class PlacementUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What changed from one version of the placements to another.
+
+    Attributes
+    ----------
+    since_version
+        Version that the update is for; 0 for a whole set.
+    removed
+        Pools that have no placement any more.
+    bindings
+        Set if they changed.
+    """
+
+    since_version: int
+    version: int
+    pools: tuple[PoolUpdate, ...]
+    removed: tuple[str, ...]
+    bindings: Bindings | None
+
+
 class BucketReport(msgspec.Struct, frozen=True):
     """What the primary owner of a moving bucket tells the coordinator.
 
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -11,7 +11,8 @@
     join_group,
     take_claim,
 )
-from mustardhold.systems.leases import has_left, take_lease
+from mustardhold.systems.leases import take_lease
+from mustardhold.systems.leaving import has_left
 from mustardhold.systems.ownership import is_lease_live, raise_fence
 from mustardhold.systems.readiness import is_ready
 from mustardhold.systems.views import install_view
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -15,7 +15,7 @@
 from mustardhold.systems.addresses import pack_address
 from mustardhold.systems.announcements import take_announced
 from mustardhold.systems.coordination import join_group
-from mustardhold.systems.leases import has_left
+from mustardhold.systems.leaving import has_left
 from mustardhold.systems.routing import install_table
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import GRANT_LIFETIME, STOP_BOUND, TICK
--- a/tools/proofs/planned_change.py
+++ b/tools/proofs/planned_change.py
@@ -39,21 +39,26 @@
     at(fleet, start + 1, lambda: fakes.stop_gracefully(fleet, 'b1'))
 
 
+def first_pool(fleet: Fleet) -> str:
+    """Find the pool of the first server."""
+    return next(iter(fleet.servers_by_id.values())).pool
+
+
 def drain(fleet: Fleet, start: float) -> None:
     """Drain a server; the table reaches the balancers unevenly."""
-    table = fakes.routing_table(
-        fleet, 2, Pool('werkstatt', drained=('werkstatt-1',))
-    )
+    name = first_pool(fleet)
+    table = fakes.routing_table(fleet, 2, Pool(name, drained=(f'{name}-1',)))
     at(fleet, start, lambda: install_unevenly(fleet, table))
 
 
 def reweight(fleet: Fleet, start: float) -> None:
     """Narrow a pool, then widen it and change its weighting."""
+    name = first_pool(fleet)
     narrow = fakes.routing_table(
-        fleet, 3, Pool('werkstatt', servers=('werkstatt-[1-5]',))
+        fleet, 3, Pool(name, servers=(f'{name}-[1-5]',))
     )
     wide = fakes.routing_table(
-        fleet, 4, Pool('werkstatt', weighting=Weighting.BALANCE)
+        fleet, 4, Pool(name, weighting=Weighting.BALANCE)
     )
     at(fleet, start + 0.5, lambda: install_unevenly(fleet, narrow))
     at(fleet, start + 5, lambda: install_unevenly(fleet, wide))
