--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -278,12 +278,11 @@
     def take() -> None:
         tables = fleet.balancers_by_id[name]
         outbox: Outbox = []
+        now = fleet.queue.now
         if isinstance(packet, CallerPacket):
             fleet.packets += 1
-            now = fleet.queue.now
             fleet.logic.take_caller_packet(tables, now, packet, outbox)
         else:
-            now = fleet.queue.now
             fleet.logic.take_backend_packet(tables, now, packet, outbox)
         dispatch(fleet, name, outbox)
 
