--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -84,9 +84,13 @@
     ------
     ForeignFolderError
         If the folder belongs to another replica.
+    DamagedFileError
+        If a folder that was in use has no identity.
     """
     body = read_whole(disk, IDENTITY_NAME)
     if body is None:
+        if disk.read(LOG_NAME) is not None:
+            raise DamagedFileError(f'{IDENTITY_NAME} is missing')
         identity = Identity(instance_id, new_uid)
         save_whole(disk, IDENTITY_NAME, msgspec.msgpack.encode(identity))
         return identity
--- a/src/mustardhold/systems/edits.py
+++ b/src/mustardhold/systems/edits.py
@@ -67,11 +67,12 @@
     table: RoutingTable, route: Route
 ) -> Iterator[Finding]:
     """Yield addresses of a route that belong to another route."""
+    wanted = set(route.addresses)
     taken = {
         address: other.name
         for other in table.routes_by_name.values()
+        if other.name != route.name and not wanted.isdisjoint(other.addresses)
         for address in other.addresses
-        if other.name != route.name
     }
     for index, address in enumerate(route.addresses):
         owner = taken.get(address)
--- a/src/mustardhold/systems/routing.py
+++ b/src/mustardhold/systems/routing.py
@@ -1,13 +1,13 @@
 """Which service a packet belongs to, and which servers may serve it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from fnmatch import fnmatchcase
 
 from mustardhold.systems.addresses import pack_address
 from mustardhold.tables.backends import BackendState, KnownBackend
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import FLOW_KEY_BYTES
-from mustardhold.tables.routing import Pool, RoutingTable
+from mustardhold.tables.routing import Pool, Route, RoutingTable
 
 SERVICE_OFFSET = FLOW_KEY_BYTES // 2
 
@@ -22,15 +22,34 @@
     """
     if table.version <= tables.routing.version:
         return False
+    move_addresses(
+        tables.service_by_address,
+        tables.routing.routes_by_name,
+        table.routes_by_name,
+    )
     tables.routing = table
-    tables.service_by_address = {
-        pack_address(address): route.name
-        for route in table.routes_by_name.values()
-        for address in route.addresses
-    }
     return True
 
 
+def move_addresses(
+    service_by_address: dict[bytes, str],
+    before: Mapping[str, Route],
+    after: Mapping[str, Route],
+) -> None:
+    """Follow the routes that changed; a table has many, an edit few.
+
+    Addresses are taken away first, as one may go to another route.
+    """
+    for name, route in before.items():
+        if after.get(name) is not route:
+            for address in route.addresses:
+                service_by_address.pop(pack_address(address), None)
+    for name, route in after.items():
+        if before.get(name) is not route:
+            for address in route.addresses:
+                service_by_address[pack_address(address)] = name
+
+
 def service_of(tables: BalancerTables, flow: bytes) -> str | None:
     """Find the service that a flow was addressed to."""
     return tables.service_by_address.get(flow[SERVICE_OFFSET:])
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -103,6 +103,18 @@
     control.wait_for(
         lambda: control.version_at(running, 'b1') == version, 'the table'
     )
+    frozen = next(
+        name
+        for name in running.settings_by_name
+        if 'b1' in control.status_at(running, name).balancers
+    )
+    control.signal_process(running, frozen, signal.SIGSTOP)
+    version = control.put_pool(running, 'e1', 'p1', 0)
+    control.wait_for(
+        lambda: control.version_at(running, 'b1') == version,
+        'the table from another replica',
+    )
+    control.signal_process(running, frozen, signal.SIGCONT)
     address = running.controls()[0]
     control.wait_for(
         lambda: any(
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -104,3 +104,11 @@
     assert open_identity(disk, 'c1', 'c1/2').uid == 'c1/1'
     with pytest.raises(ForeignFolderError):
         open_identity(disk, 'c2', 'c2/1')
+
+
+def test_folder_without_its_identity_is_refused(tmp_path):
+    disk = open_folder(tmp_path)
+    run_single(disk, 1)
+    with pytest.raises(DamagedFileError):
+        open_identity(disk, 'c1', 'c1/1')
+    close_folder(disk)
