--- a/src/mustardhold/adapters/http_app.py
+++ b/src/mustardhold/adapters/http_app.py
@@ -59,13 +59,15 @@
 
 def make_app(
     handlers: HandlersByPath,
-    note_fault: NoteFault = ignore_fault,
     max_body_bytes: int = MAX_BODY_BYTES,
+    note_fault: NoteFault = ignore_fault,
 ) -> Application:
     """Make the ASGI application that serves some handlers.
 
     Parameters
     ----------
+    max_body_bytes
+        Limit of a request's body.
     note_fault
         Learns of exceptions that a handler should not have raised.
     """
--- a/src/mustardhold/daemons/balancer_http.py
+++ b/src/mustardhold/daemons/balancer_http.py
@@ -65,7 +65,7 @@
         len(tables.flows_by_key),
         tuple(known.announced for known in tables.backends_by_id.values()),
         {'/'.join(key): count for key, count in tables.counters.items()},
-        is_ready(tables),
+        is_ready(tables, balancer.clock.monotonic()),
         tables.stopping,
         lease_left(balancer),
     )
@@ -74,14 +74,17 @@
 def lease_left(balancer: Balancer) -> float | None:
     """Find how long the balancer may act as an owner, in seconds."""
     left = balancer.tables.lease_until - balancer.clock.monotonic()
-    return None if math.isinf(left) else left
+    return None if left == math.inf else max(left, 0)
 
 
 async def show_ready(balancer: Balancer, _: Ask) -> Reply:
     """Tell the fabric whether it may hand packets to this balancer."""
-    if is_ready(balancer.tables):
+    tables = balancer.tables
+    if is_ready(tables, balancer.clock.monotonic()):
         return json_reply({'status': 'ready'})
-    reason = 'stopping' if balancer.tables.stopping else 'no table yet'
+    reason = 'no lease' if tables.routing.version else 'no table yet'
+    if tables.stopping:
+        reason = 'stopping'
     return refuse('', reason, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
@@ -135,5 +138,8 @@
     if watch is not None:
         pages['GET', '/changes'] = functools.partial(show_changes, watch)
     return make_app(
-        pages, functools.partial(note_fault, balancer.faults, 'http-failed')
+        pages,
+        note_fault=functools.partial(
+            note_fault, balancer.faults, 'http-failed'
+        ),
     )
--- a/src/mustardhold/daemons/balancer_state.py
+++ b/src/mustardhold/daemons/balancer_state.py
@@ -10,10 +10,13 @@
 from mustardhold.daemons.faults import Faults
 from mustardhold.daemons.packet_loop import bind_socket
 from mustardhold.systems.addresses import split_address
+from mustardhold.systems.coordination import join_group
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.observations import Observations
 from mustardhold.tables.options import BalancerOptions
-from mustardhold.tables.views import View
+from mustardhold.tables.views import Member
+
+MICROSECONDS = 1_000_000
 
 
 @dataclass(slots=True)
@@ -22,6 +25,8 @@
 
     Attributes
     ----------
+    group_by_id
+        Configured balancers of the spray group.
     peer_sources
         Host and port from which each member of the group sends.
     left
@@ -33,6 +38,7 @@
     clock: Clock
     data_socket: socket.socket
     peer_socket: socket.socket
+    group_by_id: dict[str, Member]
     peer_sources: frozenset[tuple[str, int]]
     faults: Faults
     log: logging.Logger
@@ -44,14 +50,17 @@
     options: BalancerOptions, clock: Clock, log: logging.Logger
 ) -> Balancer:
     """Open a balancer's sockets and make its tables."""
-    view = View(1, {member.instance_id: member for member in options.group})
-    tables = BalancerTables(options.instance_id, options.data_centre, view)
+    incarnation = int(clock.now().timestamp() * MICROSECONDS)
+    tables = join_group(
+        options.instance_id, clock.monotonic(), incarnation, options.group
+    )
     return Balancer(
         options,
         tables,
         clock,
         bind_socket(options.data_address),
         bind_socket(options.peer_address),
+        {member.instance_id: member for member in options.group},
         frozenset(
             split_address(member.peer_address) for member in options.group
         ),
--- a/src/mustardhold/daemons/control.py
+++ b/src/mustardhold/daemons/control.py
@@ -77,8 +77,8 @@
             ('GET', '/explain'): functools.partial(show_explanation, node),
             ('GET', '/metrics'): functools.partial(show_metrics, node),
         },
-        functools.partial(note_fault, node.faults, 'http-failed'),
-        MAX_REPLICA_BODY_BYTES,
+        note_fault=functools.partial(note_fault, node.faults, 'http-failed'),
+        max_body_bytes=MAX_REPLICA_BODY_BYTES,
     )
 
 
--- a/src/mustardhold/daemons/sending.py
+++ b/src/mustardhold/daemons/sending.py
@@ -76,7 +76,7 @@
     balancer: Balancer, send: ToPeer, _: Packet | None, raw: bytes
 ) -> None:
     """Send a message to another balancer of the group."""
-    member = balancer.tables.view.members_by_id.get(send.instance_id)
+    member = balancer.group_by_id.get(send.instance_id)
     if member is None:
         balancer.tables.counters['', 'peer-unknown'] += 1
         return
--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,10 +1,22 @@
-"""The way of a packet: every packet of a flow goes through its owner."""
+"""The way of a packet: to its bucket's base, or through its flow's owner."""
 
+from mustardhold.systems.answers import take_answer, take_shed
+from mustardhold.systems.freezing import is_stale
 from mustardhold.systems.health import note_backend_packet
-from mustardhold.systems.opening import open_flow
-from mustardhold.systems.ownership import is_lease_live, owners_for
+from mustardhold.systems.holding import (
+    expired_early,
+    hold_early,
+    release_early,
+)
+from mustardhold.systems.opening import open_settled
+from mustardhold.systems.owner_decisions import decide_as_owner, settled_base
+from mustardhold.systems.ownership import (
+    is_lease_live,
+    owners_for,
+    raise_fence,
+)
 from mustardhold.systems.records import end_flow
-from mustardhold.systems.requests import forward_request, note_answer
+from mustardhold.systems.requests import answer_without_lease
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import RELAY_HOPS
 from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller, ToPeer
@@ -12,9 +24,8 @@
     Answer,
     BackendPacket,
     CallerPacket,
-    Close,
+    Cancel,
     FlowEnded,
-    NotRun,
     Open,
     Request,
     Shed,
@@ -30,12 +41,19 @@
     hops: int = 0,
 ) -> None:
     """Decide on a packet from a caller, or relay it to its flow's owner."""
+    if is_stale(tables, now) or forward_settled(tables, now, packet, outbox):
+        return
     owners = owners_for(tables, packet.flow)
+    if not owners:
+        tables.counters['', 'no-owner'] += 1
+        return
     if owners[0] == tables.instance_id:
-        if not is_lease_live(tables, now):
-            tables.counters['', 'lease-expired'] += 1
-            return
-        decide_as_owner(tables, now, packet, owners, outbox)
+        if is_lease_live(tables, now):
+            decide_as_owner(tables, now, packet, owners, outbox)
+        elif awaits_view(tables, now):
+            hold_early(tables, now, packet, hops)
+        else:
+            refuse_without_lease(tables, packet, outbox)
     elif hops < RELAY_HOPS:
         relay = Relay(tables.instance_id, tables.view.epoch, hops + 1, packet)
         outbox.append(ToPeer(owners[0], relay))
@@ -43,44 +61,62 @@
         tables.counters['', 'relay-hops-exceeded'] += 1
 
 
-def decide_as_owner(
-    tables: BalancerTables,
-    now: float,
-    packet: CallerPacket,
-    owners: tuple[str, ...],
-    outbox: Outbox,
-) -> None:
-    """Decide on a caller's packet as primary owner of its bucket."""
-    record = tables.flows_by_key.get(packet.flow)
-    if isinstance(packet, Open):
-        open_flow(tables, packet, record, owners, outbox)
-        return
-    if record is None:
-        refuse_unowned(tables, packet, outbox)
-        return
-    known = tables.backends_by_id.get(record.backend_id)
-    if known is None:
-        refuse_unowned(tables, packet, outbox)
-        return
-    if isinstance(packet, Request):
-        forward_request(tables, now, packet, known, outbox)
-        return
-    outbox.append(ToBackend(known.announced.address, packet))
-    if isinstance(packet, Close):
-        end_flow(tables, packet.flow, outbox)
+def awaits_view(tables: BalancerTables, now: float) -> bool:
+    """Tell whether a newer view is about to say who decides."""
+    return tables.stopping or now < tables.lease_until
 
 
-def refuse_unowned(
+def refuse_without_lease(
     tables: BalancerTables, packet: CallerPacket, outbox: Outbox
 ) -> None:
-    """Answer a packet whose flow has no record; it was not forwarded."""
-    tables.counters['', 'no-record'] += 1
+    """Drop a packet that needs a lease; tell what becomes of a request."""
+    tables.counters['', 'lease-expired'] += 1
     if isinstance(packet, Request):
-        outbox.append(
-            ToCaller(NotRun(packet.flow, packet.request_id, 'no-flow'))
-        )
+        answer_without_lease(tables, packet, outbox)
+
+
+def take_relay(
+    tables: BalancerTables, now: float, relay: Relay, outbox: Outbox
+) -> None:
+    """Act on a relayed packet, once our view is as new as the sender's."""
+    packet = relay.packet
+    if not isinstance(packet, CallerPacket):
+        return
+    if raise_fence(tables, relay.epoch):
+        hold_early(tables, now, packet, relay.hops)
+        return
+    take_caller_packet(tables, now, packet, outbox, relay.hops)
+
+
+def forward_settled(
+    tables: BalancerTables, now: float, packet: CallerPacket, outbox: Outbox
+) -> bool:
+    """Forward a packet of a settled bucket; requests go by their owner."""
+    if not tables.placements.placements_by_pool:
+        return False
+    if isinstance(packet, Request | Cancel) or not is_lease_live(tables, now):
+        return False
+    base = settled_base(tables, packet.flow)
+    known = tables.backends_by_id.get(base or '')
+    if known is None:
+        return False
+    if isinstance(packet, Open):
+        open_settled(tables, packet, known, outbox)
     else:
-        outbox.append(ToCaller(FlowEnded(packet.flow)))
+        outbox.append(ToBackend(known.announced.address, packet))
+    return True
+
+
+def retake_packets(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Decide again on held packets, after a change of the view."""
+    for one in release_early(tables, now):
+        take_caller_packet(tables, now, one.packet, outbox, one.hops)
+
+
+def drop_early(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Give up packets for which no newer view came in time."""
+    for packet in expired_early(tables, now):
+        refuse_without_lease(tables, packet, outbox)
 
 
 def take_backend_packet(
@@ -88,10 +124,11 @@
 ) -> None:
     """Pass a server's packet to the caller that its flow key names."""
     note_backend_packet(tables, packet)
-    if isinstance(packet, Answer | Shed):
-        note_answer(tables, packet)
+    if isinstance(packet, Answer):
+        take_answer(tables, packet, outbox)
+        return
     if isinstance(packet, Shed):
-        outbox.append(ToCaller(NotRun(packet.flow, packet.request_id, 'shed')))
+        take_shed(tables, packet, outbox)
         return
     if isinstance(packet, FlowEnded):
         end_flow(tables, packet.flow, outbox)
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -1,25 +1,66 @@
 """Messages from other balancers, and the work of each tick."""
 
-from mustardhold.systems.affinity import take_caller_packet
+from mustardhold.systems.affinity import (
+    drop_early,
+    retake_packets,
+    take_relay,
+)
 from mustardhold.systems.announcements import take_announcement
+from mustardhold.systems.coordination import (
+    take_claim,
+    take_granted,
+    tick_claims,
+)
+from mustardhold.systems.deadlines import run_request_timers
 from mustardhold.systems.digests import (
     answer_asked,
     take_digest,
     tick_backends,
 )
+from mustardhold.systems.freezing import is_stale, note_activity
+from mustardhold.systems.holding import ask_again, take_ask
+from mustardhold.systems.leases import (
+    advance_view,
+    take_lease,
+    take_leave,
+    take_new_view,
+    take_renewal,
+    tick_leave,
+    tick_placements,
+    tick_renewal,
+)
+from mustardhold.systems.owner_decisions import decide_overdue, resolve_held
 from mustardhold.systems.records import forget_flow, take_chain
-from mustardhold.systems.requests import expire_requests
+from mustardhold.systems.request_messages import take_request_message
+from mustardhold.systems.transfers import (
+    take_complete,
+    take_page,
+    take_page_taken,
+    tick_transfers,
+)
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.outbox import Outbox
-from mustardhold.tables.packets import CallerPacket
 from mustardhold.tables.peers import (
+    AskRecord,
     BackendDigest,
     BackendsAsked,
     BackendShared,
+    Claim,
+    CouncilMessage,
     FlowClosed,
+    Granted,
+    HandoverComplete,
+    HandoverMessage,
+    Lease,
+    NewView,
+    OwnerMessage,
+    PageTaken,
     PeerMessage,
     RecordChain,
+    RecordPage,
     Relay,
+    Renewal,
+    TellRecord,
 )
 
 
@@ -27,12 +68,28 @@
     tables: BalancerTables, now: float, message: PeerMessage, outbox: Outbox
 ) -> None:
     """Act on a message from another balancer."""
+    if is_stale(tables, now):
+        return
+    if isinstance(message, Relay):
+        take_relay(tables, now, message, outbox)
+    elif isinstance(message, CouncilMessage):
+        take_council_message(tables, now, message, outbox)
+    elif isinstance(message, HandoverMessage):
+        take_handover_message(tables, now, message, outbox)
+    else:
+        take_owner_message(tables, now, message, outbox)
+
+
+def take_owner_message(
+    tables: BalancerTables,
+    now: float,
+    message: OwnerMessage,
+    outbox: Outbox,
+) -> None:
+    """Act on a message about flows, requests or backend servers."""
     match message:
-        case Relay(packet=packet, hops=hops):
-            if isinstance(packet, CallerPacket):
-                take_caller_packet(tables, now, packet, outbox, hops)
         case RecordChain():
-            take_chain(tables, message, outbox)
+            take_chain(tables, now, message, outbox)
         case FlowClosed(flow=flow):
             forget_flow(tables, flow)
         case BackendShared(backend=backend):
@@ -41,9 +98,83 @@
             take_digest(tables, now, message, outbox)
         case BackendsAsked():
             answer_asked(tables, message, outbox)
+        case _:
+            take_request_message(tables, now, message, outbox)
+
+
+def take_handover_message(
+    tables: BalancerTables,
+    now: float,
+    message: HandoverMessage,
+    outbox: Outbox,
+) -> None:
+    """Act on a message about records that change their owners."""
+    match message:
+        case AskRecord():
+            take_ask(tables, now, message, outbox)
+        case TellRecord():
+            resolve_held(tables, now, message, outbox)
+        case RecordPage():
+            take_page(tables, message, outbox)
+        case PageTaken():
+            take_page_taken(tables, message)
+        case HandoverComplete():
+            take_complete(tables, message)
+
+
+def take_council_message(
+    tables: BalancerTables, now: float, message: CouncilMessage, outbox: Outbox
+) -> None:
+    """Act on a message about the members of the group."""
+    epoch = tables.view.epoch
+    match message:
+        case Claim():
+            take_claim(tables, now, message, outbox)
+        case Granted():
+            take_granted(tables, now, message)
+        case Renewal():
+            take_renewal(tables, now, message, outbox)
+        case Lease():
+            take_lease(tables, now, message)
+        case NewView():
+            take_new_view(tables, now, message)
+        case _:
+            take_leave(tables, now, message)
+    run_councils(tables, now, outbox)
+    if tables.view.epoch != epoch:
+        retake_packets(tables, now, outbox)
+
+
+def run_councils(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Change views, and ask for leases that are due."""
+    membership = tables.membership
+    if membership is None:
+        return
+    for council in membership.councils:
+        advance_view(tables, council, now, outbox)
+        tick_claims(tables, council, now, outbox)
+        tick_renewal(tables, council, now, outbox)
 
 
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Do the work that time asks for."""
-    expire_requests(tables, now)
+    note_activity(tables, now)
+    run_request_timers(tables, now, outbox)
     tick_backends(tables, now, outbox)
+    tick_membership(tables, now, outbox)
+    tick_transfers(tables, now, outbox)
+    ask_again(tables, now, outbox)
+    decide_overdue(tables, now, outbox)
+    drop_early(tables, now, outbox)
+
+
+def tick_membership(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+    """Take part in the agreement on the members of the group."""
+    epoch = tables.view.epoch
+    run_councils(tables, now, outbox)
+    if tables.membership is not None:
+        for council in tables.membership.councils:
+            tick_placements(tables, council, now)
+            tick_leave(tables, council, now, outbox)
+    if tables.view.epoch != epoch:
+        retake_packets(tables, now, outbox)
--- a/src/mustardhold/systems/placement.py
+++ b/src/mustardhold/systems/placement.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from mustardhold.systems.bases import assign_bases, replace_bases
+from mustardhold.systems.handover import missing_members
 from mustardhold.systems.hashing import bucket_of
 from mustardhold.systems.ownership import owners_of_bucket
 from mustardhold.systems.placement_causes import (
@@ -69,7 +70,9 @@
     if planned == in_force.placements_by_pool:
         return in_force
     tables.next_plan_at = now + PLAN_SECONDS
-    return PlacementSet(in_force.version + 1, planned)
+    return msgspec.structs.replace(
+        in_force, version=in_force.version + 1, placements_by_pool=planned
+    )
 
 
 def is_urgent(tables: BalancerTables) -> bool:
@@ -182,7 +185,8 @@
 def report_buckets(tables: BalancerTables) -> tuple[BucketReport, ...]:
     """Report which buckets that this balancer owns first may settle.
 
-    Those with flows elsewhere are left out: they may not settle.
+    Those with flows elsewhere, or whose records are not all here yet, are
+    left out: they may not settle.
     """
     returning = {
         (name, bucket)
@@ -196,7 +200,7 @@
     return tuple(
         BucketReport(name, bucket, 0)
         for name, bucket in sorted(returning)
-        if not elsewhere[name, bucket]
+        if not elsewhere[name, bucket] and not missing_members(tables, bucket)
     )
 
 
