--- a/src/mustardhold/cli.py
+++ b/src/mustardhold/cli.py
@@ -10,6 +10,7 @@
     run_balancer_program,
     run_control_program,
 )
+from mustardhold.commands.replicas import run_replica
 from mustardhold.commands.show import run_status
 
 COMMANDS = {
@@ -18,6 +19,7 @@
     'check': run_check,
     'route': run_edit,
     'pool': run_edit,
+    'replica': run_replica,
     'status': run_status,
     'explain': run_explain,
 }
--- a/src/mustardhold/commands/explain.py
+++ b/src/mustardhold/commands/explain.py
@@ -2,6 +2,7 @@
 
 import argparse
 from collections.abc import Iterator
+from datetime import UTC, datetime
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from mustardhold.tables.outcomes import Err, Ok, Outcome
 from mustardhold.tables.status import (
     DecisionShown,
+    EditExplanation,
     Explanation,
     FlowExplained,
 )
@@ -78,7 +80,7 @@
         try:
             shown = msgspec.json.decode(page.value, type=Explanation)
         except msgspec.DecodeError:
-            yield f'{address}: {page.value.decode()}'
+            yield edit_line(address, page.value)
             continue
         decisions.extend(shown.decisions)
         if shown.flow is not None:
@@ -87,6 +89,29 @@
         yield decision_line(one)
 
 
+def edit_line(address: str, raw: bytes) -> str:
+    """Tell what a control replica knows of an edit."""
+    try:
+        edit = msgspec.json.decode(raw, type=EditExplanation)
+    except msgspec.DecodeError:
+        return f'{address}: {raw.decode()}'
+    origin = edit.record.origin
+    taken = ''
+    if origin is not None:
+        at = datetime.fromtimestamp(origin.taken_at, UTC)
+        taken = (
+            f', taken by {origin.leader_id} at '
+            f'{at.isoformat(timespec="milliseconds")} in term {origin.term} '
+            f'as entry {origin.index}'
+        )
+    return (
+        f'{edit.replica_id}: edit {edit.edit_id}: {edit.record.outcome}{taken}'
+        f'; of the balancers that poll it, in force at '
+        f'{", ".join(edit.in_force) or "none"}, not yet at '
+        f'{", ".join(edit.not_in_force) or "none"}'
+    )
+
+
 def flow_line(flow: FlowExplained) -> str:
     """Tell what a balancer knows of a flow."""
     service = flow.service or 'no service'
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -41,6 +41,7 @@
     )
     add_route(commands.add_parser('route', help='edit the routes'))
     add_pool(commands.add_parser('pool', help='edit the pools'))
+    add_replica(commands.add_parser('replica', help='repair the control'))
     add_status(commands.add_parser('status', help='show the fleet'))
     add_explain(
         commands.add_parser('explain', help='tell what was decided and why')
@@ -48,6 +49,13 @@
     return parser
 
 
+def add_replica(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``replica``."""
+    command.add_argument('action', choices=('replace',))
+    command.add_argument('instance', help='the replica that lost its disk')
+    command.add_argument('--control', action='append', required=True)
+
+
 def add_status(command: argparse.ArgumentParser) -> None:
     """Add the arguments of ``status``."""
     add_targets(command)
--- a/src/mustardhold/commands/show.py
+++ b/src/mustardhold/commands/show.py
@@ -2,7 +2,7 @@
 
 import argparse
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -14,7 +14,11 @@
     say,
 )
 from mustardhold.tables.outcomes import Ok
-from mustardhold.tables.status import BalancerStatus, ControlStatus
+from mustardhold.tables.status import (
+    BalancerSeen,
+    BalancerStatus,
+    ControlStatus,
+)
 
 AnyStatus = BalancerStatus | ControlStatus
 COLUMNS = (
@@ -60,6 +64,37 @@
     return 'ready' if status.is_ready else 'no table'
 
 
+def state_of_replica(status: ControlStatus) -> str:
+    """Name a control replica's state in a few words."""
+    if status.is_refused:
+        return 'lost folder'
+    if status.has_quorum:
+        return f'leads term {status.term}'
+    if status.leader_id is None:
+        return 'no leader'
+    return f'follows {status.leader_id}'
+
+
+def rows_of_seen(known: list[AnyStatus], newest: int) -> Iterator[Row]:
+    """Describe the balancers that only control replicas know of."""
+    asked = {status.instance_id for status in known}
+    latest: dict[str, BalancerSeen] = {}
+    for status in known:
+        if isinstance(status, ControlStatus):
+            for name, seen in status.balancers.items():
+                latest[name] = max(
+                    seen, latest.get(name, seen), key=lambda one: one.seen_at
+                )
+    for name in sorted(set(latest) - asked):
+        yield {
+            'instance': name,
+            'role': 'balancer',
+            'state': 'polls',
+            'version': latest[name].version,
+            'lag': newest - latest[name].version,
+        }
+
+
 def row_of(status: AnyStatus, newest: int) -> Row:
     """Describe a process in a row of the overview."""
     version = version_of(status)
@@ -67,11 +102,13 @@
         'instance': status.instance_id,
         'role': 'control',
         'data centre': status.data_centre,
-        'state': 'up',
+        'state': '',
         'version': version,
         'lag': newest - version,
     }
-    if isinstance(status, BalancerStatus):
+    if isinstance(status, ControlStatus):
+        row['state'] = state_of_replica(status)
+    else:
         states = Counter(str(one.state) for one in status.backends)
         row |= {
             'role': 'balancer',
@@ -107,7 +144,9 @@
     else:
         known = [one for one in statuses.values() if one is not None]
         newest = max(map(version_of, known), default=0)
-        for line in lines_of(row_of(one, newest) for one in known):
+        rows = [row_of(one, newest) for one in known]
+        rows.extend(rows_of_seen(known, newest))
+        for line in lines_of(rows):
             say(line)
     return EXIT_OK if all(statuses.values()) else EXIT_FAILED
 
--- a/src/mustardhold/daemons/control_edits.py
+++ b/src/mustardhold/daemons/control_edits.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardhold.adapters.http_app import (
+    MAX_BODY_BYTES,
     Ask,
     Reply,
     json_reply,
@@ -72,6 +73,9 @@
 
 async def take_edit(node: ReplicaNode, ask: Ask) -> Reply:
     """Handle an operator's edit; only a committed one is accepted."""
+    if len(ask.body) > MAX_BODY_BYTES:
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        return refuse('body', 'is too large', status)
     read = read_json(ask.body, Edit)
     if isinstance(read, Err):
         return refuse_all(read.error)
--- a/src/mustardhold/daemons/control_pages.py
+++ b/src/mustardhold/daemons/control_pages.py
@@ -1,6 +1,9 @@
 """Pages on which a control replica shows its tables and itself."""
 
-from mustardhold.adapters.http_app import Ask, Reply, json_reply
+import math
+from http import HTTPStatus
+
+from mustardhold.adapters.http_app import Ask, Reply, json_reply, refuse
 from mustardhold.daemons.replica_node import (
     ReplicaNode,
     counters_of,
@@ -52,15 +55,20 @@
     """Explain an edit: its outcome, who took it, and where it is in force."""
     edit_id = ask.query.get('edit', '')
     record = node.replica.edits.records_by_edit_id.get(edit_id)
-    explanation = EditExplanation(edit_id, node.options.instance_id, record)
-    if record is not None and isinstance(record.outcome, Accepted):
+    if record is None:
+        message = 'is not known, or no longer'
+        return refuse('edit', message, HTTPStatus.NOT_FOUND)
+    version = math.inf
+    if isinstance(record.outcome, Accepted):
         version = record.outcome.version
-        seen = balancers_seen(node.watch)
-        explanation = EditExplanation(
+    seen = balancers_seen(node.watch)
+    in_force = {name for name, one in seen.items() if one.version >= version}
+    return json_reply(
+        EditExplanation(
             edit_id,
             node.options.instance_id,
             record,
-            tuple(name for name, one in seen.items() if one.version >= version),
-            tuple(name for name, one in seen.items() if one.version < version),
+            tuple(sorted(in_force)),
+            tuple(sorted(set(seen) - in_force)),
         )
-    return json_reply(explanation)
+    )
--- a/src/mustardhold/daemons/operator.py
+++ b/src/mustardhold/daemons/operator.py
@@ -3,7 +3,6 @@
 import itertools
 import uuid
 from collections.abc import Sequence
-from urllib.parse import urlencode
 
 import httpx
 import msgspec
@@ -21,11 +20,6 @@
     RoutingTable,
     Unknown,
 )
-from mustardhold.tables.status import (
-    BalancerSeen,
-    ControlStatus,
-    EditExplanation,
-)
 
 TIMEOUT_SECONDS = 5
 TRIES = 6
@@ -155,57 +149,3 @@
             return Ok(reply.content)
         reasons.append(f'{address}: {reply.text}')
     return Err('; '.join(reasons))
-
-
-def fetch_all(addresses: Sequence[str], path: str) -> list[bytes]:
-    """Get a page from every address that answers."""
-    pages = [fetch([address], path) for address in addresses]
-    return [page.value for page in pages if isinstance(page, Ok)]
-
-
-def fetch_control_status(addresses: Sequence[str]) -> list[ControlStatus]:
-    """Get the status of every control replica that answers."""
-    return [
-        msgspec.json.decode(page, type=ControlStatus)
-        for page in fetch_all(addresses, '/status')
-    ]
-
-
-def fetch_balancers(addresses: Sequence[str]) -> dict[str, BalancerSeen]:
-    """Get each balancer's version and lag, as its latest poll told them."""
-    latest: dict[str, BalancerSeen] = {}
-    for status in fetch_control_status(addresses):
-        for balancer, seen in status.balancers.items():
-            known = latest.get(balancer)
-            if known is None or seen.seen_at > known.seen_at:
-                latest[balancer] = seen
-    return latest
-
-
-def explain_edit(
-    addresses: Sequence[str], edit_id: str
-) -> Outcome[EditExplanation, str]:
-    """Find who took an edit, when, in which term, and where it is in force.
-
-    Returns
-    -------
-    Outcome
-        One explanation over all replicas; the reason where none answers.
-    """
-    path = f'/explain?{urlencode({"edit": edit_id})}'
-    found = [
-        msgspec.json.decode(page, type=EditExplanation)
-        for page in fetch_all(addresses, path)
-    ]
-    if not found:
-        return Err('no control replica answers')
-    known = next((one for one in found if one.record is not None), found[0])
-    in_force = {name for one in found for name in one.in_force}
-    behind = {name for one in found for name in one.not_in_force}
-    return Ok(
-        msgspec.structs.replace(
-            known,
-            in_force=tuple(sorted(in_force)),
-            not_in_force=tuple(sorted(behind - in_force)),
-        )
-    )
--- a/src/mustardhold/tables/status.py
+++ b/src/mustardhold/tables/status.py
@@ -147,14 +147,12 @@
 
     Attributes
     ----------
-    record
-        None where the edit id is not known, or no longer.
     in_force, not_in_force
         Balancers that poll this replica, with and without the edit.
     """
 
     edit_id: str
     replica_id: str
-    record: EditRecord | None
+    record: EditRecord
     in_force: tuple[str, ...] = ()
     not_in_force: tuple[str, ...] = ()
