--- a/src/mustardhold/systems/deadlines.py
+++ b/src/mustardhold/systems/deadlines.py
@@ -22,6 +22,7 @@
 from mustardhold.systems.request_records import (
     add_timer,
     forget_record,
+    tell_at,
     tell_unknown,
 )
 from mustardhold.systems.retries import schedule_retry, take_retry
@@ -58,7 +59,7 @@
         return
     if what is Due.RETRY:
         retry_request(tables, now, key, record, outbox)
-    else:
+    elif now >= tell_at(record):
         end_at_deadline(tables, now, key, record, outbox)
 
 
@@ -101,6 +102,8 @@
         add_timer(tables, now + TICK.total_seconds(), key, Due.DEADLINE)
         return
     end_record(tables, record)
+    # A refusal that no last owner has confirmed is not certain.
+    record.refusal = ''
     is_late = now - record.deadline_at > TOLD_LATE_AT_MOST.total_seconds()
     if not is_late and tells_outcome(tables, record, now):
         tell_unknown(tables, record, 'deadline', outbox)
