--- a/tools/measurements/relay.py
+++ b/tools/measurements/relay.py
@@ -1,7 +1,7 @@
 """Share of packets that are relayed, through a drain and its end."""
 
 from tools.fakes.event_queue import run_until
-from tools.fakes.fleet import PRODUCT, make_fleet
+from tools.fakes.fleet import PRODUCT, Fleet, make_fleet
 from tools.fakes.servers import make_servers
 from tools.fakes.traffic import FlowNumbers, Traffic, start_traffic
 from tools.proofs import owner_loss, planned_change
@@ -21,15 +21,20 @@
 )
 
 
-def measure_event(name: str, change: Fault) -> tuple[Cell, ...]:
-    """Measure the share of relayed packets, window after window."""
+def start_fleet() -> Fleet:
+    """Start the balancers, the hosts and the callers of both services."""
     servers = (*make_servers('werkstatt', 7), *make_servers('katalog', 3))
     fleet = make_fleet(SEED, PRODUCT, BALANCERS, servers)
     numbers = FlowNumbers()
-    end = WINDOWS * WINDOW_SECONDS
     for service in fleet.address_by_service:
         traffic = Traffic(service, OPENINGS_PER_SECOND, FLOW_SECONDS)
-        start_traffic(fleet, traffic, end, numbers)
+        start_traffic(fleet, traffic, WINDOWS * WINDOW_SECONDS, numbers)
+    return fleet
+
+
+def measure_event(name: str, change: Fault) -> tuple[Cell, ...]:
+    """Measure the share of relayed packets, window after window."""
+    fleet = start_fleet()
     change(fleet, CHANGE_AT)
     cells: list[Cell] = [name]
     for number in range(1, WINDOWS + 1):
