--- a/src/mustardhold/systems/routing.py
+++ b/src/mustardhold/systems/routing.py
@@ -1,13 +1,13 @@
 """Which service a packet belongs to, and which servers may serve it."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from fnmatch import fnmatchcase
 
 from mustardhold.systems.addresses import pack_address
 from mustardhold.tables.backends import BackendState, KnownBackend
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import FLOW_KEY_BYTES
-from mustardhold.tables.routing import Pool, Route, RoutingTable
+from mustardhold.tables.routing import Pool, RoutingTable
 
 SERVICE_OFFSET = FLOW_KEY_BYTES // 2
 
@@ -22,32 +22,37 @@
     """
     if table.version <= tables.routing.version:
         return False
-    move_addresses(
-        tables.service_by_address,
-        tables.routing.routes_by_name,
-        table.routes_by_name,
-    )
+    before = tables.routing
     tables.routing = table
+    update_addresses(tables.service_by_address, before, table)
     return True
 
 
-def move_addresses(
+def update_addresses(
     service_by_address: dict[bytes, str],
-    before: Mapping[str, Route],
-    after: Mapping[str, Route],
+    before: RoutingTable,
+    after: RoutingTable,
 ) -> None:
-    """Follow the routes that changed; a table has many, an edit few.
+    """Take the routes that differ into the lookup of addresses."""
+    for address, _ in addresses_besides(before, after):
+        service_by_address.pop(address, None)
+    service_by_address.update(addresses_besides(after, before))
+
+
+def addresses_besides(
+    table: RoutingTable, other: RoutingTable
+) -> Iterator[tuple[bytes, str]]:
+    """Yield address and service of each route that another table lacks.
 
-    Addresses are taken away first, as one may go to another route.
+    A later version shares the entries that did not change, so that most are
+    told apart without a look into them.
     """
-    for name, route in before.items():
-        if after.get(name) is not route:
-            for address in route.addresses:
-                service_by_address.pop(pack_address(address), None)
-    for name, route in after.items():
-        if before.get(name) is not route:
-            for address in route.addresses:
-                service_by_address[pack_address(address)] = name
+    others = other.routes_by_name
+    for name, route in table.routes_by_name.items():
+        other_route = others.get(name)
+        if other_route is route or other_route == route:
+            continue
+        yield from ((pack_address(one), name) for one in route.addresses)
 
 
 def service_of(tables: BalancerTables, flow: bytes) -> str | None:
--- a/tools/measurements/control.py
+++ b/tools/measurements/control.py
@@ -29,7 +29,7 @@
 )
 from mustardhold.systems import consensus
 from mustardhold.systems.edits import apply_edit
-from mustardhold.systems.routing import install_table, move_addresses
+from mustardhold.systems.routing import install_table, update_addresses
 from mustardhold.systems.table_changes import apply_changes, changes_since
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.consensus import ReplicaMember
@@ -388,10 +388,8 @@
     return {
         'collect the changes': lambda: changes_since(table, before.version),
         'merge the changes': lambda: apply_changes(before, changes),
-        'put the table in force': lambda: move_addresses(
-            tables.service_by_address,
-            before.routes_by_name,
-            merged.routes_by_name,
+        'put the table in force': lambda: update_addresses(
+            tables.service_by_address, before, merged
         ),
     }
 
