Measure the settled path, and packets again after the leases

Cause: the measured balancer had no lease since views are agreed on, and no binding of its address, so the measurement failed.

--- a/tools/measurements/packet_paths.py
+++ b/tools/measurements/packet_paths.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import math
 import random
 import socket
 import time
@@ -23,7 +24,7 @@
 from mustardhold.tables.options import BalancerOptions
 from mustardhold.tables.packets import Upload
 from mustardhold.tables.peers import Relay
-from mustardhold.tables.placement import Placement, PlacementSet
+from mustardhold.tables.placement import Bindings, Placement, PlacementSet
 from mustardhold.tables.routing import Pool, Route, RoutingTable
 from mustardhold.tables.views import Member, View
 from tools.processes import free_address
@@ -122,6 +123,8 @@
     tables.view = View(
         1, {one.instance_id: one for one in group if one.instance_id in members}
     )
+    tables.membership = None
+    tables.lease_until = math.inf
     route = Route(SERVICE, (SERVICE_ADDRESS,))
     table = RoutingTable(1, {SERVICE: route}, {SERVICE: Pool(SERVICE)}, {})
     install_table(tables, table)
@@ -153,7 +156,8 @@
         frozenset(),
         frozenset(),
     )
-    balancer.tables.placements = PlacementSet(1, {SERVICE: placement})
+    bindings = Bindings({pack_address(SERVICE_ADDRESS): SERVICE})
+    balancer.tables.placements = PlacementSet(1, {SERVICE: placement}, bindings)
 
 
 def draw_upload(bench: Bench, flows: Sequence[bytes]) -> bytes:
