--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -62,7 +62,7 @@
         (Member('b1', 'dc', peer),),
     )
     made = make_balancer(options, FakeClock(), LOG)
-    for _ in range(5):
+    for _ in range(8):
         let_time_pass(made, 0.9)
     yield made
     made.data_socket.close()
