--- a/tools/measurements/control.py
+++ b/tools/measurements/control.py
@@ -2,10 +2,9 @@
 
 import logging
 import math
-import random
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -14,45 +13,33 @@
 import trio
 
 from mustardhold.adapters.clock import SystemClock
-from mustardhold.adapters.disk import close_folder, open_folder
-from mustardhold.adapters.replica_store import (
-    LOG_NAME,
-    SNAPSHOT_NAME,
-    open_identity,
-    open_store,
-    save_effects,
-)
 from mustardhold.daemons.table_feed import (
     TableFeed,
     follow_tables,
     make_feed,
 )
-from mustardhold.systems import consensus
-from mustardhold.systems.edits import apply_edit
-from mustardhold.systems.routing import install_table, update_addresses
-from mustardhold.systems.table_changes import apply_changes, changes_since
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.consensus import ReplicaMember
-from mustardhold.tables.edits import EditState
 from mustardhold.tables.options import BalancerOptions
 from mustardhold.tables.routing import (
     Edit,
     EntryKind,
     Pool,
-    Route,
-    RoutingTable,
-    TableChanges,
 )
 from mustardhold.tables.views import View
 from tools import processes
 from tools.control_processes import (
     ControlFleet,
-    start_control,
     start_controls,
     status_at,
-    wait_for,
 )
-from tools.registry import Cell, Measurement, Table
+from tools.measurements.control_sizes import (
+    MILLISECONDS,
+    TRIES,
+    Row,
+    planned_rows,
+    restart_rows,
+)
+from tools.registry import Measurement, Table
 
 REPLICAS = 3
 BALANCER_COUNTS = (5, 20, 80)
@@ -61,13 +48,8 @@
 EDITS = 20
 EDIT_SECONDS = 1.0
 LAST_SECONDS = 2.0
-TRIES = 5
 RESTART_CHANGES = (0, 500, 5_000)
-PLANNED_ADDRESSES = 37_000
-PAGE_BYTES = 4_096
-MILLISECONDS = 1_000
 
-Row = tuple[Cell, ...]
 SHARES = (0.5, 0.99, 1.0)
 NOTES = (
     f'{REPLICAS} replica processes on loopback; balancers are table feeds',
@@ -273,141 +255,6 @@
         yield name, count, round(rate), 'bytes/s'
 
 
-def fill_folder(folder: Path, changes: int) -> None:
-    """Let a replica of its own take edits, as a process would."""
-    disk = open_folder(folder)
-    open_identity(disk, 'c1', 'c1/1')
-    me = ReplicaMember('c1/1', 'c1', 'c1')
-    replica = consensus.make_replica(me, (me,), random.Random(1).random, 0)
-    store, _ = open_store(disk)
-    for now in (0, 3):
-        save_effects(store, consensus.tick(replica, now), replica.log)
-    for number in range(changes):
-        name = f'pool-{number % 50}'
-        version = replica.edits.table.entry_versions.get(f'pool/{name}', 0)
-        edit = Edit(
-            f'edit-{number:032d}',
-            EntryKind.POOL,
-            name,
-            version,
-            pool=Pool(name, drained=(f'server-{number}',)),
-        )
-        _, effects = consensus.propose_edit(replica, 3, edit, 0)
-        save_effects(store, effects, replica.log)
-    close_folder(disk)
-
-
-def memory_bytes(process_id: int) -> int:
-    """Read the resident memory of a process."""
-    fields = Path(f'/proc/{process_id}/statm').read_text('ascii').split()
-    return int(fields[1]) * PAGE_BYTES
-
-
-def restart_rows(changes: int) -> Iterator[Row]:
-    """Measure a single replica's restart after some changes."""
-    with tempfile.TemporaryDirectory() as name:
-        folder = Path(name) / 'c1'
-        fill_folder(folder, changes)
-        began = time.perf_counter()
-        disk = open_folder(folder)
-        open_store(disk)
-        rebuilt = (time.perf_counter() - began) * MILLISECONDS
-        close_folder(disk)
-        yield 'read the folder', changes, round(rebuilt, 1), 'ms'
-        for part in (LOG_NAME, SNAPSHOT_NAME):
-            path = folder / part
-            size = path.stat().st_size if path.exists() else 0
-            yield f'size of the {part}', changes, size, 'bytes'
-        yield from process_rows(Path(name), changes)
-
-
-def process_rows(folder: Path, changes: int) -> Iterator[Row]:
-    """Measure a process that starts on a folder."""
-    running = ControlFleet(processes.Fleet(folder))
-    address = processes.free_tcp_address()
-    running.address_by_name['c1'] = address
-    running.settings_by_name['c1'] = {
-        'instance_id': 'c1',
-        'data_centre': 'dc-1',
-        'http_address': address,
-        'folder': str(folder / 'c1'),
-        'replicas': [],
-    }
-
-    def leads() -> bool:
-        status = status_at(running, 'c1')
-        return status is not None and status.has_quorum
-
-    try:
-        start_control(running, 'c1')
-        seconds = wait_for(leads, 'the replica to lead')
-        memory = memory_bytes(running.fleet.processes_by_name['c1'].pid)
-    finally:
-        processes.stop_all(running.fleet)
-    yield 'process start to leading', changes, round(seconds, 2), 's'
-    yield 'resident memory', changes, memory, 'bytes'
-
-
-def planned_table(count: int) -> RoutingTable:
-    """Make a table with one route for each address."""
-    routes = {
-        f'service-{number}': Route(
-            f'service-{number}', (f'10.{number >> 8}.{number & 255}.1:443',)
-        )
-        for number in range(count)
-    }
-    versions = {f'route/{name}': at for at, name in enumerate(routes, 1)}
-    return RoutingTable(count, routes, {}, versions)
-
-
-def planned_rows() -> Iterator[Row]:
-    """Measure one edit of a table at the planned size."""
-    count = PLANNED_ADDRESSES
-    state = EditState(planned_table(count))
-    before = state.table
-    whole = changes_since(before, 0)
-    route = Route('service-7', ('10.255.255.255:443',))
-    edit = Edit('e', EntryKind.ROUTE, route.name, 8, route=route)
-    apply_edit(state, edit)
-    applied = spent(lambda: apply_edit(EditState(before), edit))
-    changes = changes_since(state.table, before.version)
-    yield 'whole table', count, len(msgspec.json.encode(whole)), 'bytes'
-    yield 'one change', count, len(msgspec.json.encode(changes)), 'bytes'
-    yield 'apply an edit', count, applied, 'ms'
-    for name, step in change_steps(before, state.table, changes).items():
-        yield name, count, spent(step), 'ms'
-
-
-def change_steps(
-    before: RoutingTable, table: RoutingTable, changes: TableChanges
-) -> dict[str, Callable[[], object]]:
-    """Choose what a change costs replicas and balancers."""
-    tables = BalancerTables('b1', 'dc-1', View(1, {}))
-    install_table(tables, before)
-    merged = apply_changes(before, changes) or before
-    return {
-        'collect the changes': lambda: changes_since(table, before.version),
-        'merge the changes': lambda: apply_changes(before, changes),
-        'put the table in force': lambda: update_addresses(
-            tables.service_by_address, before, merged
-        ),
-    }
-
-
-def spent(action: Callable[[], object]) -> float:
-    """Return the least milliseconds that some runs of an action took."""
-    return round(
-        min(spent_once(action) for _ in range(TRIES)) * MILLISECONDS, 2
-    )
-
-
-def spent_once(action: Callable[[], object]) -> float:
-    """Run an action and return the seconds that it took."""
-    began = time.perf_counter()
-    action()
-    return time.perf_counter() - began
-
-
 def measure_control() -> Table:
     """Measure what edits cost, and how it grows."""
     rows: list[Row] = []
