--- a/tools/proofs/settled_buckets.py
+++ b/tools/proofs/settled_buckets.py
@@ -1,6 +1,5 @@
 """Flows survive while buckets settle, move and change their base."""
 
-import functools
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -12,7 +11,6 @@
     pool_state,
     usable_servers,
 )
-from mustardhold.systems.routing import install_table
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.placement import Placement, PlacementSet
 from mustardhold.tables.routing import Pool
@@ -23,7 +21,6 @@
     add_server,
     kill,
     make_fleet,
-    routing_table,
 )
 from tools.fakes.servers import make_servers
 from tools.fakes.traffic import (
@@ -32,6 +29,7 @@
     broken_flows,
     start_traffic,
 )
+from tools.proofs.drain import install_unevenly
 from tools.registry import Proof, Violation
 
 BALANCERS = ('b1', 'b2', 'b3', 'b4', 'b5')
@@ -41,7 +39,6 @@
 RETURN_AT = 20.0
 JOIN_AT = 24.0
 END = 30.0
-SPREAD_SECONDS = 2.0
 NO_NEW_WORK_SECONDS = 3.0
 LOSS = 0.02
 MAX_RELAYED = 0.5
@@ -83,15 +80,6 @@
         vars(leases)['plan_placements'] = product
 
 
-def edit_unevenly(fleet: Fleet, version: int, pool: Pool) -> None:
-    """Let an edited pool reach each balancer up to two seconds apart."""
-    table = routing_table(fleet, version, pool)
-    for tables in fleet.balancers_by_id.values():
-        install = functools.partial(install_table, tables, table)
-        delay = fleet.queue.rng.uniform(0, SPREAD_SECONDS)
-        schedule(fleet.queue, delay, install)
-
-
 def run_changes(seed: int) -> Fleet:
     """Drain a server, take it back, let one join; kill a balancer at times."""
     servers = make_servers('werkstatt', HOSTS + 1)
@@ -101,13 +89,13 @@
     traffic = Traffic('werkstatt', openings_per_second=15, flow_seconds=8)
     start_traffic(fleet, traffic, END, FlowNumbers())
     run_until(fleet.queue, DRAIN_AT)
-    edit_unevenly(fleet, 2, Pool('werkstatt', drained=(DRAINED,)))
+    install_unevenly(fleet, 2, Pool('werkstatt', drained=(DRAINED,)))
     if seed % 2:
         victim = fleet.queue.rng.choice(BALANCERS)
         delay = fleet.queue.rng.uniform(0, RETURN_AT - DRAIN_AT)
         schedule(fleet.queue, delay, lambda: kill(fleet, victim))
     run_until(fleet.queue, RETURN_AT)
-    edit_unevenly(fleet, 3, Pool('werkstatt'))
+    install_unevenly(fleet, 3, Pool('werkstatt'))
     run_until(fleet.queue, JOIN_AT)
     add_server(fleet, servers[HOSTS])
     run_until(fleet.queue, END)
