--- a/src/mustardhold/tables/placement.py
+++ b/src/mustardhold/tables/placement.py
@@ -58,33 +58,42 @@
     bindings: Bindings = Bindings()
 
 
-class PackedPlacement(msgspec.Struct, array_like=True, frozen=True):
-    """A placement as messages carry it.
+class PoolUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Buckets of one pool that changed.
 
     Attributes
     ----------
-    base_numbers
-        For each bucket the place of its base in ``servers``, in two bytes.
-    moving, opened_elsewhere
-        One bit for each bucket, lowest first.
+    rows
+        For each bucket its number, the place of its base server in
+        ``names`` as two bytes, and its state.
     """
 
     pool: str
-    servers: tuple[str, ...]
-    base_numbers: bytes
-    moving: bytes
-    opened_elsewhere: bytes
+    names: tuple[str, ...]
+    rows: bytes
 
 
-class PackedPlacements(msgspec.Struct, array_like=True, frozen=True):
-    """One version of all placements, as messages carry it."""
+class PlacementUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What changed from one version of the placements to another.
 
+    Attributes
+    ----------
+    since_version
+        Version that the update is for; 0 for a whole set.
+    removed
+        Pools that have no placement any more.
+    bindings
+        Set if they changed.
+    """
+
+    since_version: int
     version: int
-    placements: tuple[PackedPlacement, ...]
-    bindings: Bindings
+    pools: tuple[PoolUpdate, ...]
+    removed: tuple[str, ...]
+    bindings: Bindings | None
 
 
-class BucketReport(msgspec.Struct, array_like=True, frozen=True):
+class BucketReport(msgspec.Struct, frozen=True):
     """What the primary owner of a moving bucket tells the coordinator.
 
     Attributes
