--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -274,8 +274,13 @@
 
 
 def acknowledged_version(tables: BalancerTables, council: Council) -> int:
-    """Find the lowest version that a member with a lease has in force."""
-    return min(
-        (held.placement_version for held in council.leases_by_id.values()),
-        default=tables.placements.version,
-    )
+    """Tell the version in force here if every member with a lease has it.
+
+    Otherwise it is one that is lower. A higher number is that of another
+    coordinator.
+    """
+    version = tables.placements.version
+    versions = {
+        held.placement_version for held in council.leases_by_id.values()
+    }
+    return version if versions <= {version} else version - 1
