--- a/tools/measurements/slopes.py
+++ b/tools/measurements/slopes.py
@@ -4,54 +4,47 @@
 kept beside it. Processor time is the least of some tries in one process.
 """
 
-import gc
-import time
-import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
 from mustardhold.adapters.packet_codec import decode_packet, encode_packet
-from mustardhold.adapters.peer_codec import encode_message
 from mustardhold.systems.affinity import take_caller_packet
 from mustardhold.systems.announcements import take_announcement
-from mustardhold.systems.edits import apply_edit
 from mustardhold.systems.routing import install_table
-from mustardhold.tables.backends import (
-    BackendRow,
-    BackendServer,
-    BackendState,
-)
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.edits import EditState
 from mustardhold.tables.outbox import Outbox
 from mustardhold.tables.packets import Open, Upload
-from mustardhold.tables.peers import (
-    BackendDigest,
-    BackendShared,
-    Claim,
-    Granted,
-    Lease,
-    Renewal,
-)
 from mustardhold.tables.routing import (
-    Edit,
-    EntryKind,
     Pool,
     Route,
     RoutingTable,
 )
-from mustardhold.tables.views import Member, View, ViewMember
+from mustardhold.tables.views import Member, View
+from tools.cost import memory_of, processor_seconds
+from tools.fakes.announced import SERVICE, make_announcement
 from tools.fakes.fleet import flow_key
+from tools.message_costs import (
+    announcement_bytes,
+    claim_bytes,
+    digest_bytes,
+    renewal_bytes,
+)
 from tools.registry import Cell, Measurement, Table
+from tools.table_costs import (
+    edit_bytes,
+    edit_install_seconds,
+    edit_seconds,
+    install_seconds,
+    table_bytes,
+    table_memory,
+)
 
 TRIES = 3
 SECONDS = 's'
 BYTES = 'bytes'
-SERVICE = 'werkstatt'
 SERVICE_ADDRESS = '10.20.0.1:443'
-MANY_CONNECTIONS = 10_000_000
 PAYLOAD = b'x' * 100
 
 Measure = Callable[[int], float]
@@ -74,51 +67,12 @@
     measure: Measure
 
 
-def processor_seconds(action: Callable[[], object]) -> float:
-    """Measure the processor time of an action, without collections."""
-    gc.collect()
-    gc.disable()
-    start = time.process_time()
-    action()
-    spent = time.process_time() - start
-    gc.enable()
-    return spent
-
-
 def least(slope: Slope, size: int) -> float:
     """Take the least of some tries; memory and bytes need only one."""
     tries = TRIES if slope.y_unit == SECONDS else 1
     return min(slope.measure(size) for _ in range(tries))
 
 
-def memory_of(build: Callable[[], object]) -> float:
-    """Measure the bytes that stay allocated after building something."""
-    gc.collect()
-    tracemalloc.start()
-    built = build()
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del built
-    return size
-
-
-def make_server(number: int) -> BackendServer:
-    """Make the announcement of a server with ample room."""
-    return BackendServer(
-        f'{SERVICE}-{number}',
-        SERVICE,
-        'dc-1',
-        f'127.0.0.1:{10_000 + number % 50_000}',
-        2,
-        MANY_CONNECTIONS,
-        0,
-        0,
-        BackendState.READY,
-        1,
-        1,
-    )
-
-
 def make_tables(servers: int) -> BalancerTables:
     """Make a balancer alone in its group, with some servers."""
     members = {'b1': Member('b1', 'dc-1', '127.0.0.1:1')}
@@ -133,7 +87,7 @@
         ),
     )
     for number in range(servers):
-        take_announcement(tables, 0, make_server(number))
+        take_announcement(tables, 0, make_announcement(number))
     return tables
 
 
@@ -193,7 +147,7 @@
     """Measure the time to take announcements."""
     tables = make_tables(servers=1)
     made = [
-        msgspec.structs.replace(make_server(0), sequence=number)
+        msgspec.structs.replace(make_announcement(0), sequence=number)
         for number in range(2, announcements + 2)
     ]
 
@@ -204,112 +158,6 @@
     return processor_seconds(take_all)
 
 
-def announcement_bytes(announcements: int) -> float:
-    """Count the bytes of announcements between balancers."""
-    message = encode_message(BackendShared(make_server(7)))
-    return float(announcements * len(message))
-
-
-def digest_bytes(servers: int) -> float:
-    """Count the bytes of one digest."""
-    rows = tuple(
-        BackendRow(f'{SERVICE}-{n}', 1, 1000, 1000, 50, BackendState.READY, 250)
-        for n in range(servers)
-    )
-    held = {row.backend_id: 1000 for row in rows}
-    digest = BackendDigest('balancer-1', rows, held)
-    return float(len(encode_message(digest)))
-
-
-def renewal_bytes(members: int) -> float:
-    """Count the bytes of a renewal and its lease, for all members."""
-    renewal = Renewal('', 'balancer-1', 1, 1e5, 1000, 1000, 1000)
-    lease = Lease('', 1, 1e5, 1000)
-    pair = len(encode_message(renewal)) + len(encode_message(lease))
-    return float(members * pair)
-
-
-def claim_bytes(members: int) -> float:
-    """Count the bytes of a claim and its grant, for all members."""
-    view = tuple(ViewMember(f'balancer-{n}', 1) for n in range(members))
-    claim = Claim('', 'balancer-1', 1, 1e5, 1000, view, True, 1000)
-    granted = Granted('', 'balancer-2', 1, 1e5, 1000, (), '', None)
-    pair = len(encode_message(claim)) + len(encode_message(granted))
-    return float(members * pair)
-
-
-def make_routing(entries: int) -> RoutingTable:
-    """Make a table of services, each with one address."""
-    names = [f'service-{number}' for number in range(entries)]
-    routes = {
-        name: Route(name, (f'10.{number >> 8 & 255}.{number & 255}.1:443',))
-        for number, name in enumerate(names)
-    }
-    versions = {f'route/{name}': 1 for name in names}
-    return RoutingTable(
-        1, routes, {name: Pool(name) for name in names}, versions
-    )
-
-
-def table_memory(entries: int) -> float:
-    """Measure the memory of a table in force."""
-
-    def build() -> BalancerTables:
-        tables = BalancerTables('b1', 'dc-1', View(1, {}))
-        install_table(tables, make_routing(entries))
-        return tables
-
-    return memory_of(build)
-
-
-def install_seconds(entries: int) -> float:
-    """Measure the time to put a table in force."""
-    routing = make_routing(entries)
-    tables = BalancerTables('b1', 'dc-1', View(1, {}))
-    return processor_seconds(lambda: install_table(tables, routing))
-
-
-def edit_install_seconds(entries: int) -> float:
-    """Measure the time to put one edit of a table in force."""
-    state = EditState(table=make_routing(entries))
-    tables = BalancerTables('b1', 'dc-1', View(1, {}))
-    install_table(tables, state.table)
-    route = Route('service-new', ('10.255.0.1:443',))
-    edit = Edit('edit', EntryKind.ROUTE, route.name, 0, route=route)
-    apply_edit(state, edit)
-    return processor_seconds(lambda: install_table(tables, state.table))
-
-
-def table_bytes(entries: int) -> float:
-    """Count the bytes of a whole table as JSON."""
-    return float(len(msgspec.json.encode(make_routing(entries))))
-
-
-def edit_of(number: int) -> Edit:
-    """Make an edit of a pool that is new."""
-    name = f'pool-{number}'
-    return Edit(f'edit-{number}', EntryKind.POOL, name, 0, pool=Pool(name))
-
-
-def edit_seconds(entries: int) -> float:
-    """Measure the time to apply one edit to a table of some size."""
-    state = EditState(table=make_routing(entries))
-    edits = [edit_of(number) for number in range(20)]
-
-    def apply_all() -> None:
-        for edit in edits:
-            apply_edit(state, edit)
-
-    return processor_seconds(apply_all) / len(edits)
-
-
-def edit_bytes(edits: int) -> float:
-    """Count the bytes of edits as they are logged."""
-    return float(
-        sum(len(msgspec.msgpack.encode(edit_of(n))) for n in range(edits))
-    )
-
-
 SLOPES = (
     Slope(
         'flow memory',
