--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from tools.capacity_lines import LINES, Line
+from tools.capacity_line import Line
+from tools.capacity_lines import LINES
 from tools.capacity_size import BUDGETS, PLANNED, Budget
 from tools.registry import Table
 
@@ -69,6 +70,9 @@
 def value_of(line: Line, slopes: Slopes) -> float:
     """Work out a line at the planned size."""
     growths = {name: slope.growth for name, slope in slopes.items()}
+    growths.update(
+        (f'{name} at 0', slope.start) for name, slope in slopes.items()
+    )
     return line.formula(PLANNED, growths)
 
 
--- a/tools/capacity_lines.py
+++ b/tools/capacity_lines.py
@@ -1,54 +1,42 @@
 """The lines of the capacity page: a formula and a mechanism for each role."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-
-from tools.capacity_size import Size
-
-Growths = Mapping[str, float]
+from tools.capacity_bad_days import BAD_DAYS
+from tools.capacity_line import BY_GROUP, RELAY_FANOUT, Line
 
 DIGESTS_PER_SECOND = 2
 RENEWALS_PER_SECOND = 1 / 0.3
 CLAIMS_PER_SECOND = 1 / 0.3
 ANNOUNCEMENTS_PER_SECOND = 2
-RELAY_FANOUT = 16
-STORM_EDITS_PER_SECOND = 10
-RESTART_WAVE_SECONDS = 60
-
-
-@dataclass(frozen=True, slots=True)
-class Line:
-    """One figure of the page.
-
-    Attributes
-    ----------
-    slope
-        Measured slope that the formula rests on.
-    x_at_size
-        Value of the slope's x at the planned size.
-    formula
-        Works out the figure from the size and the growth of each slope.
-    """
 
-    role: str
-    what: str
-    slope: str
-    x_at_size: Callable[[Size], float]
-    text: str
-    formula: Callable[[Size, Growths], float]
-    budget: str
-    mechanism: str
-    built: str
-    remedy: str = 'none needed'
 
-
-ADDRESSES_PER_GROUP = 'addresses / groups'
-BY_GROUP = (
-    'tables cut by spray group: a balancer follows only the entries whose '
-    'addresses its own fabric carries'
-)
-
-LINES = (
+GOOD_DAYS = (
+    Line(
+        'balancer',
+        'idle process, with leases, digests and polls, in a group of 8',
+        'idle time',
+        lambda size: size.group_members,
+        'idle time at 0 + idle time x members',
+        lambda size, per: (
+            per['idle time at 0'] + per['idle time'] * size.group_members
+        ),
+        'processor',
+        'ticks of 100 ms; leases, digests and long polls',
+        'yes',
+        'a tick that waits for what is due next; the slope is small',
+    ),
+    Line(
+        'balancer',
+        'idle process in memory, in a group of 8',
+        'idle memory',
+        lambda size: size.group_members,
+        'idle memory at 0 + idle memory x members',
+        lambda size, per: (
+            per['idle memory at 0'] + per['idle memory'] * size.group_members
+        ),
+        'memory',
+        'one interpreter with its libraries',
+        'yes',
+    ),
     Line(
         'balancer',
         'whole table in memory',
@@ -294,81 +282,6 @@
         'yes',
         'a tree of relays with fan-out 16',
     ),
-    Line(
-        'bad day: restart wave',
-        'whole tables to 458 balancers in a minute, from one replica',
-        'table bytes',
-        lambda size: size.addresses,
-        'table bytes x addresses x nodes / control instances / 60 s',
-        lambda size, per: (
-            per['table bytes']
-            * size.addresses
-            * size.nodes
-            / size.control_instances
-            / RESTART_WAVE_SECONDS
-        ),
-        'bytes',
-        'a balancer starts from its disk or a peer where it can',
-        'partly',
-        BY_GROUP,
-    ),
-    Line(
-        'bad day: rack or switch lost',
-        'records that survivors send again, for one lost node, in a minute',
-        'flow memory',
-        lambda size: size.flows_per_node * size.owners,
-        '12 bytes x flows / nodes x owners / 60 s / (members - 1)',
-        lambda size, per: (
-            12
-            * size.flows_per_node
-            * size.owners
-            / RESTART_WAVE_SECONDS
-            / (size.group_members - 1)
-        ),
-        'bytes',
-        'pages of records from the surviving owners',
-        'yes',
-    ),
-    Line(
-        'bad day: data centre lost or regions apart',
-        'leases and digests of each group go on alone',
-        'renewal bytes',
-        lambda size: size.group_members,
-        'as on a good day: groups do not span data centres',
-        lambda size, per: (
-            per['renewal bytes'] * size.group_members * RENEWALS_PER_SECOND
-        ),
-        'bytes',
-        'no state is shared between groups but the tables',
-        'yes',
-    ),
-    Line(
-        'bad day: edit storm',
-        '10 edits a second to each relay of fan-out 16',
-        'edit bytes',
-        lambda size: STORM_EDITS_PER_SECOND,
-        'edit bytes x 10 a second x 16',
-        lambda size, per: (
-            per['edit bytes'] * STORM_EDITS_PER_SECOND * RELAY_FANOUT
-        ),
-        'bytes',
-        'a tree of balancers below the control replicas',
-        'no: design note capacity.md',
-    ),
-    Line(
-        'bad day: all hosts announce at once',
-        'sharing of every server of a group as new, in one second',
-        'announcement bytes',
-        lambda size: size.hosts_per_group,
-        'announcement bytes x hosts / groups / members x (members - 1)',
-        lambda size, per: (
-            per['announcement bytes']
-            * size.hosts_per_group
-            / size.group_members
-            * (size.group_members - 1)
-        ),
-        'bytes',
-        'a change of state is shared at once within the group',
-        'yes',
-    ),
 )
+
+LINES = (*GOOD_DAYS, *BAD_DAYS)
--- a/tools/measurements/slopes.py
+++ b/tools/measurements/slopes.py
@@ -31,7 +31,9 @@
     digest_bytes,
     renewal_bytes,
 )
+from tools.process_costs import idle_memory, idle_share
 from tools.registry import Cell, Measurement, Table
+from tools.slope_picture import draw_slopes
 from tools.table_costs import (
     edit_bytes,
     edit_install_seconds,
@@ -44,6 +46,7 @@
 TRIES = 3
 SECONDS = 's'
 BYTES = 'bytes'
+CORE_SHARE = 'of a core'
 SERVICE_ADDRESS = '10.20.0.1:443'
 PAYLOAD = b'x' * 100
 
@@ -215,6 +218,8 @@
     Slope('table bytes', 'entries', BYTES, (500, 5000, 37_000), table_bytes),
     Slope('edit time', 'entries', SECONDS, (500, 5000, 37_000), edit_seconds),
     Slope('edit bytes', 'edits', BYTES, (10, 100, 1000), edit_bytes),
+    Slope('idle memory', 'members', BYTES, (2, 5, 8), idle_memory),
+    Slope('idle time', 'members', CORE_SHARE, (2, 5, 8), idle_share),
 )
 
 
@@ -248,12 +253,14 @@
 
 
 def run_slopes() -> Table:
-    """Measure all slopes, one after the other, in this process."""
-    return Table(
+    """Measure all slopes, one after the other."""
+    table = Table(
         ('slope', 'x', 'y', 'y per x', 'at 0', 'points x', 'points y'),
         list(measure_all()),
         (f'processor time: least of {TRIES} tries; one process',),
     )
+    draw_slopes(table)
+    return table
 
 
 MEASUREMENTS = (
--- /dev/null
+++ b/tools/process_costs.py
@@ -0,0 +1,82 @@
+"""What idle processes of a spray group cost, read from the system."""
+
+import os
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from tools import processes
+from tools.running_path import (
+    SEEWINKEL,
+    RunningPath,
+    start_balancers,
+    start_controls,
+)
+
+IDLE_SECONDS = 8.0
+SETTLE_SECONDS = 4.0
+TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+USER_FIELD = 11
+SYSTEM_FIELD = 12
+
+
+@contextmanager
+def running_group(members: int) -> Iterator[list[int]]:
+    """Run a control replica and a group of balancers, without traffic.
+
+    Yields
+    ------
+    list of int
+        Process ids of the balancers.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = processes.Fleet(Path(folder))
+        try:
+            yield start_group(fleet, members)
+        finally:
+            processes.stop_all(fleet)
+
+
+def start_group(fleet: processes.Fleet, members: int) -> list[int]:
+    """Start the processes, wait until they are idle, and list their ids."""
+    controls = start_controls(fleet, SEEWINKEL, 1)
+    path = RunningPath(fleet, processes.free_address(), controls)
+    start_balancers(path, SEEWINKEL, members)
+    for address in path.balancer_https():
+        processes.wait_ready(address)
+    time.sleep(SETTLE_SECONDS)
+    return [
+        fleet.processes_by_name[name].pid for name in path.settings_by_balancer
+    ]
+
+
+def spent_seconds(pid: int) -> float:
+    """Read the processor time that a process has used."""
+    text = Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
+    fields = text.rpartition(')')[2].split()
+    ticks = int(fields[USER_FIELD]) + int(fields[SYSTEM_FIELD])
+    return ticks / TICKS_PER_SECOND
+
+
+def resident_bytes(pid: int) -> int:
+    """Read the resident memory of a process."""
+    text = Path(f'/proc/{pid}/statm').read_text(encoding='utf-8')
+    return int(text.split()[1]) * PAGE_BYTES
+
+
+def idle_share(members: int) -> float:
+    """Measure the share of a core that an idle balancer uses, on average."""
+    with running_group(members) as pids:
+        before = sum(map(spent_seconds, pids))
+        time.sleep(IDLE_SECONDS)
+        spent = sum(map(spent_seconds, pids)) - before
+    return spent / IDLE_SECONDS / members
+
+
+def idle_memory(members: int) -> float:
+    """Measure the resident memory of an idle balancer, on average."""
+    with running_group(members) as pids:
+        return sum(map(resident_bytes, pids)) / members
