Test the kind of a packet at less cost on the owner's hop

Cause: a profile of the owner's hop showed seven class tests a packet, among them one against a union, and four for a recorded flow's upload. Ruled out: the codec and the lookups; each is a small part of the profile. Change: tuples instead of unions, uploads first.

--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -26,14 +26,21 @@
     BackendPacket,
     CallerPacket,
     Cancel,
+    Close,
     FlowEnded,
     Open,
     Opened,
     Request,
     Shed,
+    Upload,
 )
 from mustardhold.tables.peers import Relay
 
+# Tuples with the most frequent kind first: a test against a union, built or
+# not, costs several times as much on the way of each packet.
+CALLER_KINDS = (Upload, Open, Request, Cancel, Close)
+REQUEST_KINDS = (Request, Cancel)
+
 
 def take_caller_packet(
     tables: BalancerTables,
@@ -82,7 +89,7 @@
 ) -> None:
     """Act on a relayed packet, once our view is as new as the sender's."""
     packet = relay.packet
-    if not isinstance(packet, CallerPacket):
+    if not isinstance(packet, CALLER_KINDS):
         return
     if raise_fence(tables, relay.epoch):
         hold_early(tables, now, packet, relay.hops)
@@ -96,7 +103,7 @@
     """Forward a packet of a settled bucket; requests go by their owner."""
     if not tables.placements.placements_by_pool:
         return False
-    if isinstance(packet, Request | Cancel) or not is_lease_live(tables, now):
+    if isinstance(packet, REQUEST_KINDS) or not is_lease_live(tables, now):
         return False
     base = settled_base(tables, packet.flow)
     known = tables.backends_by_id.get(base or '')
--- a/src/mustardhold/systems/owner_decisions.py
+++ b/src/mustardhold/systems/owner_decisions.py
@@ -23,6 +23,7 @@
     FlowEnded,
     Open,
     Request,
+    Upload,
 )
 from mustardhold.tables.peers import TellRecord
 
@@ -106,6 +107,10 @@
     if known is None:
         refuse_unreachable(tables, now, packet, outbox)
         return
+    # The most frequent kind first, so that it passes one test alone.
+    if isinstance(packet, Upload):
+        outbox.append(ToBackend(known.announced.address, packet))
+        return
     if isinstance(packet, Request):
         take_request(tables, now, packet, known, outbox)
         return
