Check a relayed packet for staleness once

Cause: the entry of peer messages and the entry of callers' packets both checked a relayed packet, with the same time. Ruled out: a further stale case between them; the time passed on is the same, and only the messages' entry calls take_relay. Change: the part after the check is route_packet; take_relay calls it.

--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -50,7 +50,19 @@
     hops: int = 0,
 ) -> None:
     """Decide on a packet from a caller, or relay it to its flow's owner."""
-    if is_stale(tables, now) or forward_settled(tables, now, packet, outbox):
+    if not is_stale(tables, now):
+        route_packet(tables, now, packet, outbox, hops)
+
+
+def route_packet(
+    tables: BalancerTables,
+    now: float,
+    packet: CallerPacket,
+    outbox: Outbox,
+    hops: int,
+) -> None:
+    """Decide on a packet that is known not to be stale, or relay it."""
+    if forward_settled(tables, now, packet, outbox):
         return
     owners = owners_for(tables, packet.flow)
     if not owners:
@@ -87,14 +99,17 @@
 def take_relay(
     tables: BalancerTables, now: float, relay: Relay, outbox: Outbox
 ) -> None:
-    """Act on a relayed packet, once our view is as new as the sender's."""
+    """Act on a relayed packet, once our view is as new as the sender's.
+
+    The messages' entry has already dropped a stale one.
+    """
     packet = relay.packet
     if not isinstance(packet, CALLER_KINDS):
         return
     if raise_fence(tables, relay.epoch):
         hold_early(tables, now, packet, relay.hops)
         return
-    take_caller_packet(tables, now, packet, outbox, relay.hops)
+    route_packet(tables, now, packet, outbox, relay.hops)
 
 
 def forward_settled(
