Let only the replicas' own page take large bodies

Cause: read-through; every page of a control replica, also the operators' edits, took bodies of 64 MiB, since the limit was one for the whole server. Change: limits by page; 256 KiB unless a page is named. Before: a 300 KB edit was read whole.

--- a/src/mustardhold/adapters/http_app.py
+++ b/src/mustardhold/adapters/http_app.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -11,6 +12,7 @@
 from mustardhold.tables.routing import Finding, Refused
 
 MAX_BODY_BYTES = 262_144
+NO_OWN_LIMITS: Mapping[str, int] = MappingProxyType({})
 INTERNAL_FAULT = HTTPStatus.INTERNAL_SERVER_ERROR
 JSON_TYPE = 'application/json'
 
@@ -59,15 +61,15 @@
 
 def make_app(
     handlers: HandlersByPath,
-    max_body_bytes: int = MAX_BODY_BYTES,
+    max_bytes_by_path: Mapping[str, int] = NO_OWN_LIMITS,
     note_fault: NoteFault = ignore_fault,
 ) -> Application:
     """Make the ASGI application that serves some handlers.
 
     Parameters
     ----------
-    max_body_bytes
-        Limit of a request's body.
+    max_bytes_by_path
+        Limits of a body, for pages that differ from ``MAX_BODY_BYTES``.
     note_fault
         Learns of exceptions that a handler should not have raised.
     """
@@ -77,7 +79,9 @@
             await answer_lifespan(receive, send)
         elif scope['type'] == 'http':
             try:
-                reply = await answer(handlers, scope, receive, max_body_bytes)
+                path = scope['path']
+                limit = max_bytes_by_path.get(path, MAX_BODY_BYTES)
+                reply = await answer(handlers, scope, receive, limit)
             except Exception as error:  # one request never ends the server
                 note_fault(error)
                 reply = refuse('', 'internal fault', INTERNAL_FAULT)
--- a/src/mustardhold/daemons/control.py
+++ b/src/mustardhold/daemons/control.py
@@ -35,11 +35,11 @@
 from mustardhold.daemons.stopping import stop_on_signal
 from mustardhold.daemons.table_pages import show_changes
 from mustardhold.systems.control_gauges import control_gauges
-from mustardhold.tables.constants import (
-    MAX_REPLICA_BODY_BYTES,
-)
+from mustardhold.tables.constants import MAX_REPLICA_BODY_BYTES
 from mustardhold.tables.options import ControlOptions
 
+REPLICA_PAGE = '/replica'
+
 _envelope_decoder = msgspec.json.Decoder(Envelope)
 
 
@@ -67,7 +67,7 @@
     return make_app(
         {
             ('POST', '/edits'): functools.partial(take_edit, node),
-            ('POST', '/replica'): functools.partial(take_message, node),
+            ('POST', REPLICA_PAGE): functools.partial(take_message, node),
             ('POST', '/replicas'): functools.partial(take_replacement, node),
             ('GET', '/table'): functools.partial(show_table, node),
             ('GET', '/changes'): functools.partial(show_changes, node.watch),
@@ -76,7 +76,7 @@
             ('GET', '/metrics'): functools.partial(show_metrics, node),
         },
         note_fault=functools.partial(note_fault, node.faults, 'http-failed'),
-        max_body_bytes=MAX_REPLICA_BODY_BYTES,
+        max_bytes_by_path={REPLICA_PAGE: MAX_REPLICA_BODY_BYTES},
     )
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -11,6 +11,7 @@
 from hypothesis import example, given, seed, settings, strategies
 
 from mustardhold.adapters import http_app, peer_codec
+from mustardhold.adapters.http_app import json_reply, make_app
 from mustardhold.adapters.json_body import read_json
 from mustardhold.adapters.packet_codec import encode_packet
 from mustardhold.daemons.balancer_http import make_balancer_app
@@ -298,3 +299,15 @@
     assert explained['flow']['owners'] == ['b1']
     assert explained['decisions'][0]['outcome'] == 'not-run'
     assert explained['decisions'][0]['reason']
+
+
+async def test_only_the_named_pages_take_large_bodies():
+    async def take(ask):
+        return json_reply(len(ask.body))
+
+    pages = {('POST', '/edits'): take, ('POST', '/replica'): take}
+    app = make_app(pages, max_bytes_by_path={'/replica': 400_000})
+    async with app_client(app) as client:
+        body = b'x' * 300_000
+        replies = [await client.post(page, content=body) for _, page in pages]
+    assert [reply.status_code for reply in replies] == [413, 200]
