--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -16,3 +16,16 @@
 @pytest.mark.parametrize('proof', PROOFS, ids=lambda proof: proof.name)
 def test_naive_version_breaks_the_promise(proof):
     assert not run_proof(proof, proof.ci_seeds, naive=True)
+
+
+# Seeds at which a full run once broke a promise.
+FOUND_SEEDS = (
+    ('frozen-balancer', 4),
+    ('frozen-balancer', 13),
+    ('lying-report', 181),
+)
+
+
+@pytest.mark.parametrize(('name', 'seed'), FOUND_SEEDS)
+def test_promise_holds_where_it_once_broke(name, seed):
+    assert not proofs_by_name()[name].run(seed, naive=False)
