Weigh balance first in the demo of Ha Ngoc

Cause: that deployment weighs imbalance, yet its pools had the default. Change: a deployment's weighting goes into its pools, also when one is edited.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -68,7 +68,9 @@
     """Drain a host; return the seconds until every balancer knows."""
     host = drained_host(deployment)
     started = time.monotonic()
-    sent = put_entry(path, Pool(host.rpartition('-')[0], drained=(host,)))
+    service = host.rpartition('-')[0]
+    pool = Pool(service, drained=(host,), weighting=deployment.weighting)
+    sent = put_entry(path, pool)
     assert isinstance(sent, Ok)
     assert isinstance(sent.value, Accepted), sent
     version = sent.value.version
--- a/tools/running_path.py
+++ b/tools/running_path.py
@@ -13,7 +13,7 @@
     send_edit,
 )
 from mustardhold.tables.outcomes import Ok, Outcome
-from mustardhold.tables.routing import Accepted, Pool, Route
+from mustardhold.tables.routing import Accepted, Pool, Route, Weighting
 from mustardhold.tables.status import BalancerStatus
 from tools import processes
 
@@ -32,6 +32,7 @@
     hosts_by_service: dict[str, int]
     slots: int
     address_by_service: dict[str, str]
+    weighting: Weighting
 
 
 SEEWINKEL = Deployment(
@@ -40,6 +41,7 @@
     {'werkstatt': 2, 'katalog': 1},
     2,
     {'werkstatt': '10.20.0.1:443', 'katalog': '10.20.0.2:443'},
+    Weighting.AFFINITY,
 )
 HA_NGOC = Deployment(
     'Hà Ngọc',
@@ -47,6 +49,7 @@
     {'order-desk': 2, 'catalogue': 1},
     3,
     {'order-desk': '10.30.0.1:443', 'catalogue': '10.30.0.2:443'},
+    Weighting.BALANCE,
 )
 
 
@@ -222,7 +225,9 @@
     """Make a route and a pool of each service; wait until they are served."""
     for service, address in deployment.address_by_service.items():
         put_accepted(path, Route(service, (address,)))
-        path.table_version = put_accepted(path, Pool(service))
+        path.table_version = put_accepted(
+            path, Pool(service, weighting=deployment.weighting)
+        )
     wait_serving(path, sum(deployment.hosts_by_service.values()))
 
 
