--- a/src/mustardhold/systems/leaving.py
+++ b/src/mustardhold/systems/leaving.py
@@ -5,12 +5,12 @@
 from mustardhold.systems.coordination import (
     GRANT_SECONDS,
     RENEWAL_SECONDS,
-    council_of,
     is_coordinating,
+    lease_group_of,
     resign,
 )
 from mustardhold.tables.balancer import BalancerTables
-from mustardhold.tables.coordination import Council, Membership
+from mustardhold.tables.coordination import LeaseGroup, Membership
 from mustardhold.tables.outbox import Outbox, ToPeer
 from mustardhold.tables.peers import Leave
 
@@ -20,20 +20,20 @@
 
 def take_leave(tables: BalancerTables, now: float, leave: Leave) -> None:
     """Free the grant of a sender that has stopped, and take it out."""
-    council = council_of(tables, leave.scope)
-    if council is None:
+    lease_group = lease_group_of(tables, leave.scope)
+    if lease_group is None:
         return
-    if council.promised_to == leave.member_id:
-        council.promised_until = min(council.promised_until, now)
-    if council.coordinator_id == leave.member_id:
-        council.coordinator_heard_at = now - GRANT_SECONDS
-    held = council.leases_by_id.get(leave.member_id)
+    if lease_group.promised_to == leave.member_id:
+        lease_group.promised_until = min(lease_group.promised_until, now)
+    if lease_group.coordinator_id == leave.member_id:
+        lease_group.coordinator_heard_at = now - GRANT_SECONDS
+    held = lease_group.leases_by_id.get(leave.member_id)
     if held is not None and held.incarnation <= leave.incarnation:
-        council.leases_by_id.pop(leave.member_id)
+        lease_group.leases_by_id.pop(leave.member_id)
 
 
 def tick_leave(
-    tables: BalancerTables, council: Council, now: float, outbox: Outbox
+    tables: BalancerTables, lease_group: LeaseGroup, now: float, outbox: Outbox
 ) -> None:
     """Give the lease back before a planned stop.
 
@@ -44,35 +44,35 @@
         return
     if tables.lease_until > -math.inf:
         tables.lease_until = -math.inf
-        council.next_renewal_at = now
-    if is_coordinating(council, now):
-        if must_change_view(tables, council):
+        lease_group.next_renewal_at = now
+    if is_coordinating(lease_group, now):
+        if must_change_view(tables, lease_group):
             return
-        resign(tables, council)
-    alone_since = council.coordinator_heard_at + GRANT_SECONDS
-    if not council.is_coordinator and now >= alone_since + ALONE_SECONDS:
+        resign(tables, lease_group)
+    alone_since = lease_group.coordinator_heard_at + GRANT_SECONDS
+    if not lease_group.is_coordinator and now >= alone_since + ALONE_SECONDS:
         membership.has_given_up = True
-    if now >= council.next_renewal_at:
-        council.next_renewal_at = now + RENEWAL_SECONDS
-        send_leave(tables, membership, council, outbox)
+    if now >= lease_group.next_renewal_at:
+        lease_group.next_renewal_at = now + RENEWAL_SECONDS
+        send_leave(tables, membership, lease_group, outbox)
 
 
-def must_change_view(tables: BalancerTables, council: Council) -> bool:
+def must_change_view(tables: BalancerTables, lease_group: LeaseGroup) -> bool:
     """Tell whether a view without this coordinator is still to come."""
-    view = council.view
+    view = lease_group.view
     is_named = view is None or tables.instance_id in view.members_by_id
-    return is_named and bool(council.leases_by_id)
+    return is_named and bool(lease_group.leases_by_id)
 
 
 def send_leave(
     tables: BalancerTables,
     membership: Membership,
-    council: Council,
+    lease_group: LeaseGroup,
     outbox: Outbox,
 ) -> None:
     """Tell every other voter that this balancer acts on no lease."""
-    leave = Leave(council.scope, tables.instance_id, membership.incarnation)
-    for voter in council.voters:
+    leave = Leave(lease_group.scope, tables.instance_id, membership.incarnation)
+    for voter in lease_group.voters:
         if voter != tables.instance_id:
             outbox.append(ToPeer(voter, leave))
 
--- a/src/mustardhold/systems/ownership.py
+++ b/src/mustardhold/systems/ownership.py
@@ -50,6 +50,6 @@
         return False
     if epoch > membership.fence_epoch:
         membership.fence_epoch = epoch
-        for council in membership.councils:
-            council.next_renewal_at = 0
+        for lease_group in membership.lease_groups:
+            lease_group.next_renewal_at = 0
     return True
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -46,12 +46,12 @@
     BackendsAsked,
     BackendShared,
     Claim,
-    CouncilMessage,
     FlowClosed,
     Granted,
     HandoverComplete,
     HandoverMessage,
     Lease,
+    LeaseMessage,
     NewView,
     OwnerMessage,
     PageTaken,
@@ -72,8 +72,8 @@
         return
     if isinstance(message, Relay):
         take_relay(tables, now, message, outbox)
-    elif isinstance(message, CouncilMessage):
-        take_council_message(tables, now, message, outbox)
+    elif isinstance(message, LeaseMessage):
+        take_lease_message(tables, now, message, outbox)
     elif isinstance(message, HandoverMessage):
         take_handover_message(tables, now, message, outbox)
     else:
@@ -122,8 +122,8 @@
             take_complete(tables, message)
 
 
-def take_council_message(
-    tables: BalancerTables, now: float, message: CouncilMessage, outbox: Outbox
+def take_lease_message(
+    tables: BalancerTables, now: float, message: LeaseMessage, outbox: Outbox
 ) -> None:
     """Act on a message about the members of the group."""
     epoch = tables.view.epoch
@@ -140,20 +140,22 @@
             take_new_view(tables, now, message)
         case _:
             take_leave(tables, now, message)
-    run_councils(tables, now, outbox)
+    run_lease_groups(tables, now, outbox)
     if tables.view.epoch != epoch:
         retake_packets(tables, now, outbox)
 
 
-def run_councils(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+def run_lease_groups(
+    tables: BalancerTables, now: float, outbox: Outbox
+) -> None:
     """Change views, and ask for leases that are due."""
     membership = tables.membership
     if membership is None:
         return
-    for council in membership.councils:
-        advance_view(tables, council, now, outbox)
-        tick_claims(tables, council, now, outbox)
-        tick_renewal(tables, council, now, outbox)
+    for lease_group in membership.lease_groups:
+        advance_view(tables, lease_group, now, outbox)
+        tick_claims(tables, lease_group, now, outbox)
+        tick_renewal(tables, lease_group, now, outbox)
 
 
 def tick(tables: BalancerTables, now: float, outbox: Outbox) -> None:
@@ -173,10 +175,10 @@
 def tick_membership(tables: BalancerTables, now: float, outbox: Outbox) -> None:
     """Take part in the agreement on the members of the group."""
     epoch = tables.view.epoch
-    run_councils(tables, now, outbox)
+    run_lease_groups(tables, now, outbox)
     if tables.membership is not None:
-        for council in tables.membership.councils:
-            tick_placements(tables, council, now)
-            tick_leave(tables, council, now, outbox)
+        for lease_group in tables.membership.lease_groups:
+            tick_placements(tables, lease_group, now)
+            tick_leave(tables, lease_group, now, outbox)
     if tables.view.epoch != epoch:
         retake_packets(tables, now, outbox)
--- a/src/mustardhold/tables/coordination.py
+++ b/src/mustardhold/tables/coordination.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Council:
+class LeaseGroup:
     """Voters that grant the coordinator's lease, as one of them sees it.
 
     Attributes
@@ -105,7 +105,7 @@
 
     incarnation: int
     group_by_id: dict[str, Member]
-    councils: tuple[Council, ...]
+    lease_groups: tuple[LeaseGroup, ...]
     started_at: float
     active_at: float
     discard_until: float = -math.inf
--- a/src/mustardhold/tables/peers.py
+++ b/src/mustardhold/tables/peers.py
@@ -63,7 +63,7 @@
     Attributes
     ----------
     scope
-        Council that is asked; empty for the whole group.
+        LeaseGroup that is asked; empty for the whole group.
     sent_at
         Reading of the candidate's clock; the lease runs from here.
     epoch, members
@@ -223,7 +223,7 @@
     epoch: int
 
 
-CouncilMessage = Claim | Granted | Renewal | Lease | NewView | Leave
+LeaseMessage = Claim | Granted | Renewal | Lease | NewView | Leave
 HandoverMessage = (
     AskRecord | TellRecord | RecordPage | PageTaken | HandoverComplete
 )
@@ -258,4 +258,4 @@
     | BackendsAsked
     | RequestMessage
 )
-PeerMessage = Relay | OwnerMessage | CouncilMessage | HandoverMessage
+PeerMessage = Relay | OwnerMessage | LeaseMessage | HandoverMessage
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -54,7 +54,7 @@
     return [
         name
         for name, tables in fleet.balancers_by_id.items()
-        if is_coordinating(tables.membership.councils[0], now)
+        if is_coordinating(tables.membership.lease_groups[0], now)
     ]
 
 
