--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -18,8 +18,11 @@
     assert not run_proof(proof, proof.ci_seeds, naive=True)
 
 
-# Seeds at which a full run once broke a promise.
+# Seeds at which a full run once broke a promise, and two of the half of
+# lying-report that holds: balance first, as even seeds have it.
 FOUND_SEEDS = (
+    ('lying-report', 2),
+    ('lying-report', 4),
     ('frozen-balancer', 4),
     ('frozen-balancer', 13),
     ('lying-report', 181),
