Remove four functions of the fakes that nothing calls

Cause: a read of the whole change; a search for names that stand once found control_bytes, packet_bytes, sample_every and make_own_dedup. The first also stood again in the measurement of control bytes, which keeps its own. Ruled out among the repeated rows: most are signatures and imports alike in shape; the order of held packets in owner_decisions is sorted twice, but to share it would touch the packet path. Change: the four are gone, and the field that only the last one used.

--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from mustardhold.adapters.packet_codec import encode_packet
 from mustardhold.adapters.peer_codec import encode_message
 from mustardhold.systems import affinity, peers
 from mustardhold.systems.addresses import pack_address
@@ -346,23 +345,8 @@
     send(fleet.network, sender, server.backend_id, take, repeats=False)
 
 
-def control_bytes(fleet: Fleet, name: str) -> int:
-    """Count a balancer's bytes that do not carry a caller's packet."""
-    data = {kind.__name__ for kind in DATA_MESSAGES}
-    return sum(
-        count
-        for (sender, kind), count in fleet.bytes_by_message.items()
-        if sender == name and kind not in data
-    )
-
-
 def flow_key(number: int, service_address: str) -> bytes:
     """Make the key of a caller's flow to a service."""
     host = f'10.{number >> 24 & 255}.{number >> 16 & 255}.9'
     caller = pack_address(f'{host}:{number & 0xFFFF}')
     return caller + pack_address(service_address)
-
-
-def packet_bytes(packet: CallerPacket) -> int:
-    """Count the bytes of a packet at the edge."""
-    return len(encode_packet(packet))
--- a/tools/fakes/naive_requests.py
+++ b/tools/fakes/naive_requests.py
@@ -45,7 +45,6 @@
     """What the naive balancers keep, each for itself, by instance id."""
 
     pending: dict[str, dict[bytes, Pending]] = field(default_factory=dict)
-    seen_ids: set[tuple[str, bytes]] = field(default_factory=set)
     flow_by_id: dict[tuple[str, bytes], bytes] = field(default_factory=dict)
 
 
@@ -192,24 +191,6 @@
     return make_naive(take, take_answer, do_nothing)
 
 
-def make_own_dedup() -> Logic:
-    """Make balancers that drop the repeated ids that each has seen itself.
-
-    Each forwards requests on its own, to where the flow's owners know it.
-    """
-    notes = Notes()
-
-    def take(
-        tables: BalancerTables, now: float, packet: Request, outbox: Outbox
-    ) -> None:
-        mark = (tables.instance_id, packet.request_id)
-        if mark not in notes.seen_ids:
-            notes.seen_ids.add(mark)
-            forward(tables, packet, outbox)
-
-    return make_naive(take, pass_answer, do_nothing)
-
-
 def make_shared_queue() -> Logic:
     """Make balancers with one queue for all services, first come first."""
     waiting: dict[str, deque[Request]] = {}
--- a/tools/fakes/traffic.py
+++ b/tools/fakes/traffic.py
@@ -9,7 +9,7 @@
 
 from mustardhold.tables.packets import Cancel, Close, Open, Request, Upload
 from tools.fakes.callers import FlowSeen, RequestSeen, is_broken
-from tools.fakes.event_queue import run_until, schedule, schedule_every
+from tools.fakes.event_queue import run_until, schedule
 from tools.fakes.fleet import Fleet, flow_key, spray
 
 REQUEST_ID_BYTES = 16
@@ -237,16 +237,3 @@
     broken = [seen for seen in fleet.flows_by_key.values() if is_broken(seen)]
     found = (*broken, *silent)
     return [seen for seen in found if not seen.backend_ids <= dead]
-
-
-def sample_every(fleet: Fleet, period: float, sample: list[object]) -> None:
-    """Keep the number of flows at each server, period after period."""
-
-    def take() -> None:
-        counts = {
-            server.backend_id: len(server.flows)
-            for server in fleet.servers_by_id.values()
-        }
-        sample.append((fleet.queue.now, counts))
-
-    schedule_every(fleet.queue, period, take)
