--- a/src/mustardhold/adapters/clock.py
+++ b/src/mustardhold/adapters/clock.py
@@ -21,8 +21,11 @@
     __slots__ = ()
 
     def monotonic(self) -> float:
-        """Read seconds that never run backwards."""
-        return time.monotonic()
+        """Read seconds that never run backwards, suspensions included.
+
+        A lease must not outlive a suspension of its holder.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime:
         """Read the time of day, in UTC."""
--- a/src/mustardhold/adapters/http_app.py
+++ b/src/mustardhold/adapters/http_app.py
@@ -19,10 +19,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """An HTTP request, read whole."""
+    """An HTTP request, read whole.
+
+    Attributes
+    ----------
+    name
+        The part of the path for which the handler's path has ``*``.
+    """
 
     query: Mapping[str, str]
     body: bytes
+    name: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,9 +110,10 @@
     handlers: HandlersByPath, scope: Any, receive: Any, max_body_bytes: int
 ) -> Reply:
     """Read a request and call its handler."""
-    handler = handlers.get((scope['method'], scope['path']))
+    page, name = find_page(handlers, scope['path'])
+    handler = handlers.get((scope['method'], page))
     if handler is None:
-        return refuse_page(handlers, scope['path'])
+        return refuse_page(handlers, page)
     body = await read_body(receive, max_body_bytes)
     if body is None:
         return refuse(
@@ -113,11 +121,28 @@
         )
     query = dict(parse_qsl(scope['query_string'].decode('latin-1')))
     try:
-        return await handler(Ask(query, body))
+        return await handler(Ask(query, body, name))
     except (msgspec.DecodeError, RecursionError) as error:
         return refuse('body', str(error), HTTPStatus.BAD_REQUEST)
 
 
+def find_page(handlers: HandlersByPath, path: str) -> tuple[str, str]:
+    """Find the path under which a page is served.
+
+    Returns
+    -------
+    tuple
+        The path with ``*`` for its part before the last, and that part; or
+        the path itself and nothing.
+    """
+    start, _, end = path.rpartition('/')
+    stem, _, name = start.rpartition('/')
+    pattern = f'{stem}/*/{end}'
+    if any(known == pattern for _, known in handlers):
+        return pattern, name
+    return path, ''
+
+
 def refuse_page(handlers: HandlersByPath, path: str) -> Reply:
     """Answer a request for which there is no handler."""
     methods = [method for method, known in handlers if known == path]
--- a/src/mustardhold/adapters/http_server.py
+++ b/src/mustardhold/adapters/http_server.py
@@ -1,25 +1,196 @@
-"""Serves an application over HTTP, on trio."""
+"""Serves an application over HTTP/1.1, on trio."""
 
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import h11
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from mustardhold.adapters.http_app import Application
-from mustardhold.tables.constants import HTTP_GRACE
+from mustardhold.adapters.tcp import READ_BYTES, set_tcp_options
+from mustardhold.systems.addresses import split_address
+from mustardhold.tables.constants import (
+    HTTP_GRACE,
+    HTTP_IDLE,
+    MAX_HTTP_CONNECTIONS,
+)
+
+BACKLOG = 256
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+
+
+def bind_listener(address: str) -> trio.SocketListener:
+    """Listen on ``"ip:port"``."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(split_address(address))
+    sock.listen(BACKLOG)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
 
 async def serve_http(
     app: Application, address: str, stopping: trio.Event
 ) -> None:
     """Serve until the event is set, then let open requests finish."""
-    config = Config()
-    config.bind = [address]
-    config.accesslog = None
-    config.errorlog = None
-    config.graceful_timeout = HTTP_GRACE.total_seconds()
-    config.shutdown_timeout = HTTP_GRACE.total_seconds()
-    await serve(
-        app,
-        config,
-        shutdown_trigger=stopping.wait,
+    listener = bind_listener(address)
+    limiter = trio.CapacityLimiter(MAX_HTTP_CONNECTIONS)
+
+    async def take_stream(stream: trio.SocketStream) -> None:
+        if limiter.available_tokens < 1:
+            await trio.aclose_forcefully(stream)
+            return
+        async with limiter:
+            await serve_stream(app, stream, stopping)
+
+    async def accept() -> None:
+        await trio.serve_listeners(
+            take_stream, [listener], handler_nursery=connections
+        )
+
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(accept)
+            await stopping.wait()
+            accepting.cancel_scope.cancel()
+        connections.cancel_scope.deadline = (
+            trio.current_time() + HTTP_GRACE.total_seconds()
+        )
+
+
+async def serve_stream(
+    app: Application, stream: trio.SocketStream, stopping: trio.Event
+) -> None:
+    """Answer the requests of one connection, until either side closes it."""
+    set_tcp_options(stream.socket)
+    connection = h11.Connection(h11.SERVER)
+    # A peer may reset, fall silent or send what is no HTTP at any moment.
+    with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        while not stopping.is_set():
+            is_open = await serve_request(app, stream, connection)
+            if not is_open:
+                break
+    await trio.aclose_forcefully(stream)
+
+
+async def serve_request(
+    app: Application, stream: trio.SocketStream, connection: h11.Connection
+) -> bool:
+    """Answer one request.
+
+    Returns
+    -------
+    bool
+        Whether the connection can carry another one.
+    """
+    try:
+        request = await next_event(stream, connection)
+    except h11.RemoteProtocolError as error:
+        await send_protocol_error(stream, connection, error)
+        return False
+    if not isinstance(request, h11.Request):
+        return False
+    try:
+        await app(
+            make_scope(request),
+            make_receive(stream, connection),
+            make_send(stream, connection),
+        )
+        await skip_body(stream, connection)
+    except h11.ProtocolError:
+        return False
+    if connection.our_state is not h11.DONE:
+        return False
+    if connection.their_state is not h11.DONE:
+        return False
+    connection.start_next_cycle()
+    return True
+
+
+async def next_event(
+    stream: trio.SocketStream, connection: h11.Connection
+) -> object:
+    """Read until the next event; an idle connection ends."""
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        raw = b''
+        with trio.move_on_after(HTTP_IDLE.total_seconds()):
+            raw = await stream.receive_some(READ_BYTES)
+        connection.receive_data(raw)
+
+
+def make_scope(request: h11.Request) -> dict[str, Any]:
+    """Describe a request as an ASGI scope, as far as applications look."""
+    path, _, query = request.target.partition(b'?')
+    return {
+        'type': 'http',
+        'method': request.method.decode('ascii'),
+        'path': path.decode('latin-1'),
+        'query_string': query,
+    }
+
+
+def make_receive(
+    stream: trio.SocketStream, connection: h11.Connection
+) -> Receive:
+    """Make the function that reads the parts of a body."""
+
+    async def receive() -> dict[str, Any]:
+        event = await next_event(stream, connection)
+        if isinstance(event, h11.Data):
+            body = bytes(event.data)
+            return {'type': 'http.request', 'body': body, 'more_body': True}
+        if isinstance(event, h11.EndOfMessage):
+            return {'type': 'http.request', 'body': b'', 'more_body': False}
+        raise h11.RemoteProtocolError('the body ended early')
+
+    return receive
+
+
+def make_send(
+    stream: trio.SocketStream, connection: h11.Connection
+) -> Callable[[dict[str, Any]], Awaitable[None]]:
+    """Make the function that writes an answer, in one piece."""
+    started: list[bytes] = []
+
+    async def send(event: dict[str, Any]) -> None:
+        if event['type'] == 'http.response.start':
+            response = h11.Response(
+                status_code=event['status'], headers=event['headers']
+            )
+            started.append(connection.send(response) or b'')
+            return
+        body = connection.send(h11.Data(data=event['body'])) or b''
+        end = connection.send(h11.EndOfMessage()) or b''
+        await stream.send_all(b''.join((*started, body, end)))
+
+    return send
+
+
+async def skip_body(
+    stream: trio.SocketStream, connection: h11.Connection
+) -> None:
+    """Read what is left of a body that the handler did not want."""
+    while connection.their_state is h11.SEND_BODY:
+        event = await next_event(stream, connection)
+        if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            return
+
+
+async def send_protocol_error(
+    stream: trio.SocketStream,
+    connection: h11.Connection,
+    error: h11.RemoteProtocolError,
+) -> None:
+    """Answer bytes that are no request, where an answer is possible."""
+    if connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return
+    response = h11.Response(
+        status_code=error.error_status_hint,
+        headers=[(b'content-length', b'0'), (b'connection', b'close')],
     )
+    raw = connection.send(response) or b''
+    await stream.send_all(raw + (connection.send(h11.EndOfMessage()) or b''))
--- /dev/null
+++ b/src/mustardhold/adapters/tcp.py
@@ -0,0 +1,23 @@
+"""Options of every TCP connection."""
+
+import socket
+
+import trio
+
+from mustardhold.tables.constants import TCP_SILENCE
+
+READ_BYTES = 65_536
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 3
+
+
+def set_tcp_options(sock: trio.socket.SocketType) -> None:
+    """Send small messages at once, and notice a peer that fell silent."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    silence_ms = round(TCP_SILENCE.total_seconds() * 1000)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silence_ms)
--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -3,10 +3,10 @@
 import functools
 import logging
 
-import httpx
 import trio
 
 from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.http_client import HttpClient
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.balancer_http import make_balancer_app
 from mustardhold.daemons.balancer_packets import take_data, take_message
@@ -48,10 +48,10 @@
     balancer = make_balancer(options, clock, log)
     feed = make_feed(options, balancer.tables, clock, log)
     app = make_balancer_app(balancer, feed.watch)
-    async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
+    async with trio.open_nursery() as nursery:
         nursery.start_soon(leave_on_signal, balancer)
         start_loops(balancer, nursery)
-        nursery.start_soon(follow_tables, client, feed)
+        nursery.start_soon(follow_tables, HttpClient(), feed)
         log.info('balancer started')
         await serve_http(app, options.http_address, balancer.left)
         log.info('balancer stopped')
--- a/src/mustardhold/daemons/control.py
+++ b/src/mustardhold/daemons/control.py
@@ -2,9 +2,7 @@
 
 import functools
 import logging
-from http import HTTPStatus
 
-import msgspec
 import trio
 
 from mustardhold.adapters.clock import Clock
@@ -13,7 +11,6 @@
     Ask,
     Reply,
     make_app,
-    refuse,
 )
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.adapters.metrics import render_metrics
@@ -24,34 +21,20 @@
     show_table,
 )
 from mustardhold.daemons.faults import note_fault
-from mustardhold.daemons.replica_links import Envelope, Links
+from mustardhold.daemons.replica_links import REPLICA_PAGE, Links
 from mustardhold.daemons.replica_node import (
     ReplicaNode,
     close_node,
     make_node,
     run_replica,
-    take_step,
 )
+from mustardhold.daemons.replica_pages import take_message
 from mustardhold.daemons.stopping import stop_on_signal
 from mustardhold.daemons.table_pages import show_changes
 from mustardhold.systems.control_gauges import control_gauges
 from mustardhold.tables.constants import MAX_REPLICA_BODY_BYTES
 from mustardhold.tables.options import ControlOptions
 
-REPLICA_PAGE = '/replica'
-
-_envelope_decoder = msgspec.json.Decoder(Envelope)
-
-
-async def take_message(node: ReplicaNode, ask: Ask) -> Reply:
-    """Handle a message of another replica."""
-    envelope = _envelope_decoder.decode(ask.body)
-    if envelope.receiver_uid not in {'', node.replica.me.uid}:
-        node.replica.counters['membership', 'foreign-folder'] += 1
-        return refuse('receiver_uid', 'is another folder', HTTPStatus.CONFLICT)
-    take_step(node, envelope.message)
-    return Reply(HTTPStatus.NO_CONTENT, b'')
-
 
 async def show_metrics(node: ReplicaNode, _: Ask) -> Reply:
     """Handle a scrape of the metrics."""
@@ -91,7 +74,7 @@
         Whatever made a step fail; the data folder in most cases.
     """
     node = make_node(options, clock, log)
-    async with trio.open_nursery() as nursery, node.client:
+    async with trio.open_nursery() as nursery:
         node.links = Links(node.client, nursery, node.replica.counters, log)
         nursery.start_soon(stop_on_signal, node.stopping)
         nursery.start_soon(run_replica, node)
--- a/src/mustardhold/daemons/control_edits.py
+++ b/src/mustardhold/daemons/control_edits.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 from http import HTTPStatus
+from urllib.parse import urlencode
 
-import httpx
 import trio
 
 from mustardhold.adapters.http_app import (
@@ -14,6 +14,11 @@
     refuse,
     refuse_all,
 )
+from mustardhold.adapters.http_client import (
+    HttpFailure,
+    HttpRequest,
+    send_request,
+)
 from mustardhold.adapters.json_body import read_json
 from mustardhold.daemons.replica_node import (
     AnyOutcome,
@@ -130,24 +135,23 @@
     reply = await post_to_leader(node, leader, '/edits', ask)
     if isinstance(reply, Ok):
         return reply.value
-    is_certain = isinstance(reply.error, httpx.ConnectError)
+    is_certain = reply.error.is_unsent
     return edit_reply(NoQuorum(leader.instance_id) if is_certain else Unknown())
 
 
 async def post_to_leader(
     node: ReplicaNode, leader: ReplicaMember, path: str, ask: Ask
-) -> Outcome[Reply, httpx.HTTPError]:
+) -> Outcome[Reply, HttpFailure]:
     """Post what an operator asked to the leader."""
-    try:
-        reply = await node.client.post(
-            f'http://{leader.http_address}{path}',
-            params={**ask.query, **FORWARDED},
-            content=ask.body,
-            timeout=EDIT_TIMEOUT.total_seconds() + MARGIN_SECONDS,
-        )
-    except httpx.HTTPError as error:
-        return Err(error)
-    return Ok(Reply(HTTPStatus(reply.status_code), reply.content))
+    query = urlencode({**ask.query, **FORWARDED})
+    request = HttpRequest(
+        'POST', leader.http_address, f'{path}?{query}', ask.body
+    )
+    timeout = EDIT_TIMEOUT.total_seconds() + MARGIN_SECONDS
+    sent = await send_request(node.client, request, timeout)
+    if isinstance(sent, Err):
+        return sent
+    return Ok(Reply(HTTPStatus(sent.value.status), sent.value.body))
 
 
 async def take_replacement(node: ReplicaNode, ask: Ask) -> Reply:
@@ -157,7 +161,7 @@
     if not is_leader and leader and 'forwarded' not in ask.query:
         reply = await post_to_leader(node, leader, '/replicas', ask)
         if isinstance(reply, Err):
-            return refuse('leader', str(reply.error), HTTPStatus.BAD_GATEWAY)
+            return refuse('leader', reply.error.reason, HTTPStatus.BAD_GATEWAY)
         return reply.value
     effects = Effects()
     with ending_on_fault(node):
--- /dev/null
+++ b/src/mustardhold/daemons/feed_pages.py
@@ -0,0 +1,95 @@
+"""Tells watchers of servers and configurations, by long poll."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.http_app import Ask, Reply, json_reply
+from mustardhold.systems.directory import rows_after
+from mustardhold.tables.configurations import VersionedDocument
+from mustardhold.tables.constants import FEED_WAIT
+from mustardhold.tables.directory import Directory
+from mustardhold.tables.feed import FeedAsk, FeedReply
+
+_ask_decoder = msgspec.json.Decoder(FeedAsk)
+
+
+@dataclass(slots=True)
+class Feed:
+    """What is told, and who has merged what.
+
+    Attributes
+    ----------
+    run_id
+        Names this run; revisions start anew with each one.
+    revisions_by_watcher
+        Revision that each watcher has certainly merged.
+    changed, asked
+        Set, and replaced, at each change and each poll.
+    """
+
+    run_id: str
+    directory: Directory
+    configuration: Callable[[], VersionedDocument]
+    is_current: Callable[[], bool]
+    controls: Callable[[], tuple[str, ...]]
+    clock: Clock
+    revisions_by_watcher: dict[str, int] = field(default_factory=dict)
+    changed: trio.Event = field(default_factory=trio.Event)
+    asked: trio.Event = field(default_factory=trio.Event)
+
+
+def wake_feed(feed: Feed) -> None:
+    """Answer everyone who waits."""
+    feed.changed.set()
+    feed.changed = trio.Event()
+
+
+async def show_feed(feed: Feed, ask: Ask) -> Reply:
+    """Answer with what changed, at once or when the poll has lasted."""
+    wanted = _ask_decoder.decode(ask.body)
+    after = wanted.after if wanted.run_id == feed.run_id else 0
+    feed.revisions_by_watcher[wanted.watcher] = after
+    feed.asked.set()
+    feed.asked = trio.Event()
+    with trio.move_on_after(FEED_WAIT.total_seconds()):
+        while not has_news(feed, after, wanted.version):
+            await feed.changed.wait()
+    return json_reply(make_reply(feed, after, wanted.version))
+
+
+def has_news(feed: Feed, after: int, version: int) -> bool:
+    """Tell whether a watcher has to learn of something at once."""
+    if feed.directory.urgent_revision > after:
+        return True
+    return feed.configuration().version > version
+
+
+def make_reply(feed: Feed, after: int, version: int) -> FeedReply:
+    """Collect what a watcher lacks."""
+    held = feed.configuration()
+    return FeedReply(
+        feed.run_id,
+        feed.directory.revision,
+        tuple(rows_after(feed.directory, feed.clock.monotonic(), after)),
+        feed.is_current(),
+        feed.controls(),
+        held if held.version > version else None,
+    )
+
+
+async def wait_merged(
+    feed: Feed, revision: int, watchers: frozenset[str], count: int
+) -> None:
+    """Wait until some of the watchers have merged a revision."""
+    while True:
+        merged = sum(
+            feed.revisions_by_watcher.get(watcher, 0) >= revision
+            for watcher in watchers
+        )
+        if merged >= count:
+            return
+        await feed.asked.wait()
--- /dev/null
+++ b/src/mustardhold/daemons/registry_control.py
@@ -0,0 +1,351 @@
+"""The control process of a fleet whose servers announce themselves.
+
+It keeps the configuration by agreement with the other control instances, and
+the directory of backend servers as soft state that all of them share.
+"""
+
+import functools
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.http_app import (
+    Ask,
+    HandlersByPath,
+    Reply,
+    json_reply,
+    make_app,
+)
+from mustardhold.adapters.http_client import HttpRequest, send_request
+from mustardhold.adapters.http_server import serve_http
+from mustardhold.daemons.control_edits import status_for
+from mustardhold.daemons.faults import note_fault
+from mustardhold.daemons.feed_pages import (
+    Feed,
+    show_feed,
+    wait_merged,
+    wake_feed,
+)
+from mustardhold.daemons.feed_watch import FEED_PAGE, FeedWatch, run_watch
+from mustardhold.daemons.replica_links import REPLICA_PAGE, Links
+from mustardhold.daemons.replica_node import (
+    AnyOutcome,
+    ReplicaNode,
+    WaitingEdit,
+    close_node,
+    ending_on_fault,
+    follow_effects,
+    make_node,
+    run_replica,
+)
+from mustardhold.daemons.replica_pages import take_message
+from mustardhold.daemons.stopping import stop_on_signal
+from mustardhold.systems import consensus
+from mustardhold.systems.directory import forget_servers, take_report
+from mustardhold.systems.election import majority
+from mustardhold.tables.configurations import VersionedDocument
+from mustardhold.tables.consensus import (
+    GrowthPolicy,
+    NotLeader,
+    Pending,
+    ReplicaMember,
+)
+from mustardhold.tables.constants import (
+    CONFIGURATION_TIMEOUT,
+    LEAVE_TIMEOUT,
+    MAX_REPLICA_BODY_BYTES,
+    MAX_REPLICAS,
+)
+from mustardhold.tables.directory import (
+    Directory,
+    ServerReport,
+    ServerState,
+)
+from mustardhold.tables.options import ControlOptions
+from mustardhold.tables.outcomes import Err
+from mustardhold.tables.routing import EditOutcome, NoQuorum, Unknown
+
+CONFIGURATION_PAGE = '/configuration'
+FORGET_SECONDS = 5
+RUN_ID_BITS = 64
+
+_outcome_decoder = msgspec.json.Decoder(EditOutcome)
+_document_decoder = msgspec.json.Decoder(VersionedDocument)
+
+
+@dataclass(slots=True)
+class RegistryControl:
+    """A running control instance."""
+
+    node: ReplicaNode
+    directory: Directory
+    feed: Feed
+    watch: FeedWatch
+
+
+Task = Callable[[], Coroutine[Any, Any, None]]
+
+
+def make_control(
+    options: ControlOptions,
+    growth: GrowthPolicy,
+    clock: Clock,
+    log: logging.Logger,
+) -> RegistryControl:
+    """Open the data folder, and start with an empty directory."""
+    node = make_node(options, clock, log, growth)
+    directory = Directory()
+    feed = Feed(
+        f'{random.getrandbits(RUN_ID_BITS):x}',
+        directory,
+        lambda: node.replica.configuration,
+        lambda: consensus.is_current(node.replica, clock.monotonic()),
+        lambda: control_addresses(node),
+        clock,
+    )
+    watch = FeedWatch(
+        options.instance_id,
+        options.http_address,
+        directory,
+        clock,
+        log,
+        MAX_REPLICAS,
+        {replica.http_address for replica in options.replicas},
+        lambda: node.replica.configuration.version,
+        lambda _: None,
+        functools.partial(note_report, log),
+        lambda _: wake_feed(feed),
+    )
+    node.note_applied = functools.partial(wake_feed, feed)
+    return RegistryControl(node, directory, feed, watch)
+
+
+def control_addresses(node: ReplicaNode) -> tuple[str, ...]:
+    """Return the internal addresses of all control instances."""
+    return tuple(member.http_address for member in node.replica.members)
+
+
+def note_report(log: logging.Logger, report: ServerReport) -> None:
+    """Log a change in what is believed of a server."""
+    if report.sequence > 1 and report.state is ServerState.READY:
+        return
+    log.info(
+        'server reported',
+        extra={
+            'server': report.server_id,
+            'incarnation': report.incarnation,
+            'sequence': report.sequence,
+            'state': report.state,
+            'address': report.address,
+        },
+    )
+
+
+async def announce(control: RegistryControl, report: ServerReport) -> bool:
+    """Take a server's report.
+
+    A server that leaves may be answered only once a majority of the control
+    instances knows: any of them may be lost the next moment.
+
+    Returns
+    -------
+    bool
+        Whether the report may be acknowledged.
+    """
+    clock = control.node.clock
+    if take_report(control.directory, clock.monotonic(), report):
+        note_report(control.node.log, report)
+        wake_feed(control.feed)
+    known = control.directory.servers_by_id.get(report.server_id)
+    if known is None or report.state is ServerState.READY:
+        return True
+    others = frozenset(
+        member.instance_id
+        for member in control.node.replica.members
+        if member.instance_id != control.node.replica.me.instance_id
+    )
+    needed = majority(control.node.replica) - 1
+    with trio.move_on_after(LEAVE_TIMEOUT.total_seconds()):
+        await wait_merged(control.feed, known.urgent_revision, others, needed)
+        return True
+    return False
+
+
+async def replace_configuration(
+    control: RegistryControl, document: VersionedDocument
+) -> AnyOutcome:
+    """Commit a configuration, here or through the leader."""
+    proposed, waiting = propose(control.node, document)
+    if isinstance(proposed, NotLeader):
+        return await forward(control, proposed.leader, document)
+    if not isinstance(proposed, Pending):
+        return proposed
+    with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
+        await waiting.done.wait()
+    control.node.waiting_by_index.pop(proposed.index, None)
+    return waiting.outcome
+
+
+def propose(
+    node: ReplicaNode, document: VersionedDocument
+) -> tuple[consensus.ProposedConfiguration, WaitingEdit]:
+    """Give a configuration to the replica, and wait for its commit."""
+    with ending_on_fault(node):
+        proposed, effects = consensus.propose_configuration(
+            node.replica, node.clock.monotonic(), document
+        )
+        waiting = WaitingEdit(0)
+        if isinstance(proposed, Pending):
+            waiting.term = proposed.term
+            node.waiting_by_index[proposed.index] = waiting
+        follow_effects(node, effects)
+    return proposed, waiting
+
+
+async def forward(
+    control: RegistryControl,
+    leader: ReplicaMember | None,
+    document: VersionedDocument,
+) -> AnyOutcome:
+    """Hand a configuration to the leader."""
+    if leader is None:
+        return NoQuorum(None)
+    request = HttpRequest(
+        'POST',
+        leader.http_address,
+        CONFIGURATION_PAGE,
+        msgspec.json.encode(document),
+    )
+    sent = await send_request(
+        control.node.client, request, CONFIGURATION_TIMEOUT.total_seconds()
+    )
+    if isinstance(sent, Err):
+        is_unsent = sent.error.is_unsent
+        return NoQuorum(leader.instance_id) if is_unsent else Unknown()
+    try:
+        return _outcome_decoder.decode(sent.value.body)
+    except msgspec.DecodeError:
+        return Unknown()
+
+
+async def take_forwarded(control: RegistryControl, ask: Ask) -> Reply:
+    """Handle a configuration that another control instance hands over."""
+    proposed, waiting = propose(
+        control.node, _document_decoder.decode(ask.body)
+    )
+    if isinstance(proposed, NotLeader):
+        return json_reply(NoQuorum(None), status_for(NoQuorum(None)))
+    if isinstance(proposed, Pending):
+        with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
+            await waiting.done.wait()
+        control.node.waiting_by_index.pop(proposed.index, None)
+        return json_reply(waiting.outcome, status_for(waiting.outcome))
+    return json_reply(proposed, status_for(proposed))
+
+
+async def read_configuration(
+    control: RegistryControl,
+) -> VersionedDocument | None:
+    """Read the configuration where it is certainly the newest one."""
+    node = control.node
+    held = consensus.read_configuration(node.replica, node.clock.monotonic())
+    if isinstance(held, VersionedDocument):
+        return held
+    if held.leader is None:
+        return None
+    request = HttpRequest('GET', held.leader.http_address, CONFIGURATION_PAGE)
+    asked = await send_request(
+        node.client, request, CONFIGURATION_TIMEOUT.total_seconds()
+    )
+    if isinstance(asked, Err) or not asked.value.is_success:
+        return None
+    try:
+        return _document_decoder.decode(asked.value.body)
+    except msgspec.DecodeError:
+        return None
+
+
+async def show_configuration(control: RegistryControl, _: Ask) -> Reply:
+    """Handle a read that another control instance hands over."""
+    node = control.node
+    held = consensus.read_configuration(node.replica, node.clock.monotonic())
+    if isinstance(held, VersionedDocument):
+        return json_reply(held)
+    return json_reply(NoQuorum(None), status_for(NoQuorum(None)))
+
+
+def make_internal_pages(control: RegistryControl) -> HandlersByPath:
+    """Make the pages for balancers and other control instances."""
+    return {
+        ('POST', REPLICA_PAGE): functools.partial(take_message, control.node),
+        ('POST', FEED_PAGE): functools.partial(show_feed, control.feed),
+        ('POST', CONFIGURATION_PAGE): functools.partial(
+            take_forwarded, control
+        ),
+        ('GET', CONFIGURATION_PAGE): functools.partial(
+            show_configuration, control
+        ),
+    }
+
+
+async def forget_on(control: RegistryControl) -> None:
+    """Forget servers that are long gone, from time to time."""
+    while True:
+        await trio.sleep(FORGET_SECONDS)
+        forget_servers(control.directory, control.node.clock.monotonic())
+
+
+async def run_registry_control(
+    control: RegistryControl,
+    pages: HandlersByPath,
+    public_address: str,
+    watch_settings: Task,
+) -> None:
+    """Run a control instance until it is told to stop.
+
+    Parameters
+    ----------
+    pages
+        What backend servers and operators see.
+    watch_settings
+        Takes changed settings over.
+    """
+    node = control.node
+    fault = functools.partial(note_fault, node.faults, 'http-failed')
+    public = make_app(pages, note_fault=fault)
+    internal = make_app(
+        make_internal_pages(control),
+        {REPLICA_PAGE: MAX_REPLICA_BODY_BYTES},
+        note_fault=fault,
+    )
+    async with trio.open_nursery() as nursery:
+        node.links = Links(
+            node.client, nursery, node.replica.counters, node.log
+        )
+        nursery.start_soon(stop_on_signal, node.stopping)
+        nursery.start_soon(run_replica, node)
+        nursery.start_soon(run_watch, control.watch)
+        nursery.start_soon(forget_on, control)
+        nursery.start_soon(watch_settings)
+        node.log.info(
+            'control started',
+            extra={'version': node.replica.configuration.version},
+        )
+        async with trio.open_nursery() as serving:
+            serving.start_soon(
+                serve_http, internal, node.options.http_address, node.stopping
+            )
+            serving.start_soon(
+                serve_http, public, public_address, node.stopping
+            )
+        node.log.info('control stopped')
+        nursery.cancel_scope.cancel()
+    close_node(node)
+    if node.failure is not None:
+        raise node.failure
--- a/src/mustardhold/daemons/replica_links.py
+++ b/src/mustardhold/daemons/replica_links.py
@@ -4,10 +4,14 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-import httpx
 import msgspec
 import trio
 
+from mustardhold.adapters.http_client import (
+    HttpClient,
+    HttpRequest,
+    send_request,
+)
 from mustardhold.tables.consensus import (
     ReplicaMessage,
     ReplicaSend,
@@ -18,6 +22,9 @@
     REPLICA_TIMEOUT,
     SNAPSHOT_TIMEOUT,
 )
+from mustardhold.tables.outcomes import Err
+
+REPLICA_PAGE = '/replica'
 
 
 class Envelope(msgspec.Struct, frozen=True):
@@ -37,7 +44,7 @@
 class Links:
     """Queues of messages by the receiver's HTTP address."""
 
-    client: httpx.AsyncClient
+    client: HttpClient
     nursery: trio.Nursery
     counters: Counter[tuple[str, str]]
     log: logging.Logger
@@ -92,13 +99,9 @@
     is_large = isinstance(one.message, SnapshotRequest)
     timeout = SNAPSHOT_TIMEOUT if is_large else REPLICA_TIMEOUT
     content = msgspec.json.encode(Envelope(one.receiver.uid, one.message))
-    try:
-        await links.client.post(
-            f'http://{address}/replica',
-            content=content,
-            timeout=timeout.total_seconds(),
-        )
-    except httpx.HTTPError:
+    request = HttpRequest('POST', address, REPLICA_PAGE, content)
+    sent = await send_request(links.client, request, timeout.total_seconds())
+    if isinstance(sent, Err):
         links.counters['link', 'failed'] += 1
         return False
     links.counters['link', 'sent'] += 1
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -3,16 +3,16 @@
 import logging
 import random
 import uuid
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
-import httpx
 import trio
 
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.disk import FolderDisk, close_folder, open_folder
+from mustardhold.adapters.http_client import HttpClient
 from mustardhold.adapters.replica_store import (
     ReplicaStore,
     open_identity,
@@ -25,8 +25,10 @@
 from mustardhold.systems import consensus
 from mustardhold.systems.election import has_lease, hears_leader
 from mustardhold.tables.consensus import (
+    Applied,
     AppliedEdit,
     Effects,
+    GrowthPolicy,
     Replica,
     ReplicaMember,
     ReplicaMessage,
@@ -35,7 +37,12 @@
 from mustardhold.tables.constants import REPLICA_TICK
 from mustardhold.tables.observations import Observations
 from mustardhold.tables.options import ControlOptions
-from mustardhold.tables.routing import EditOutcome, RepeatedEdit, Unknown
+from mustardhold.tables.routing import (
+    Accepted,
+    EditOutcome,
+    RepeatedEdit,
+    Unknown,
+)
 
 AnyOutcome = EditOutcome | RepeatedEdit
 
@@ -49,12 +56,18 @@
     outcome: AnyOutcome = field(default_factory=Unknown)
 
 
+def ignore_applied() -> None:
+    """Tell nobody that something was applied."""
+
+
 @dataclass(slots=True)
 class ReplicaNode:
     """A running control replica.
 
     Attributes
     ----------
+    note_applied
+        Called after each step that applied something.
     failure
         Why a step failed; nothing goes on after it.
     """
@@ -67,24 +80,39 @@
     clock: Clock
     log: logging.Logger
     stopping: trio.Event
-    client: httpx.AsyncClient
+    client: HttpClient
     faults: Faults
     links: Links | None = None
     observations: Observations = field(default_factory=Observations)
     waiting_by_index: dict[int, WaitingEdit] = field(default_factory=dict)
     failure: Exception | None = None
+    note_applied: Callable[[], None] = ignore_applied
     shown_role: tuple[Role, int] = (Role.FOLLOWER, 0)
 
 
 def make_node(
-    options: ControlOptions, clock: Clock, log: logging.Logger
+    options: ControlOptions,
+    clock: Clock,
+    log: logging.Logger,
+    growth: GrowthPolicy | None = None,
 ) -> ReplicaNode:
-    """Open a replica's folder and rebuild its state."""
+    """Open a replica's folder and rebuild its state.
+
+    Parameters
+    ----------
+    growth
+        How the members change without an operator.
+    """
     disk = open_folder(Path(options.folder))
     instance_id = options.instance_id
     identity = open_identity(disk, instance_id, f'{instance_id}/{uuid.uuid4()}')
     store, saved = open_store(disk)
-    me = ReplicaMember(identity.uid, instance_id, options.http_address)
+    me = ReplicaMember(
+        identity.uid,
+        instance_id,
+        options.http_address,
+        data_centre=options.data_centre,
+    )
     peers = tuple(
         ReplicaMember('', peer.instance_id, peer.http_address)
         for peer in options.replicas
@@ -92,6 +120,7 @@
     replica = consensus.make_replica(
         me, peers or (me,), random.random, clock.monotonic()
     )
+    replica.growth = growth
     consensus.restore_replica(replica, saved.vote, saved.snapshot, saved.log)
     watch = TableWatch(
         lambda: replica.edits.table,
@@ -107,7 +136,7 @@
         clock,
         log,
         trio.Event(),
-        httpx.AsyncClient(),
+        HttpClient(),
         Faults(log, replica.counters),
     )
 
@@ -145,6 +174,8 @@
     if effects.applied or effects.snapshot is not None:
         wake_watchers(node.watch)
     log_role(node)
+    if effects.applied:
+        node.note_applied()
 
 
 def take_step(node: ReplicaNode, message: ReplicaMessage) -> None:
@@ -154,16 +185,23 @@
         follow_effects(node, consensus.step(node.replica, now, message))
 
 
-def finish_edit(node: ReplicaNode, applied: AppliedEdit) -> None:
-    """Hand an edit's outcome to whoever waits for it."""
+def finish_edit(node: ReplicaNode, applied: Applied) -> None:
+    """Hand the outcome of what was applied to whoever waits for it."""
     waiting = node.waiting_by_index.pop(applied.index, None)
     if waiting is None:
         return
     if waiting.term == applied.term:
-        waiting.outcome = applied.outcome
+        waiting.outcome = outcome_of(node, applied)
     waiting.done.set()
 
 
+def outcome_of(node: ReplicaNode, applied: Applied) -> AnyOutcome:
+    """Return what an applied command came to."""
+    if isinstance(applied, AppliedEdit):
+        return applied.outcome
+    return Accepted(node.replica.configuration.version)
+
+
 def log_role(node: ReplicaNode) -> None:
     """Log that a replica began or ceased to lead."""
     shown = (node.replica.role, node.replica.vote.term)
--- a/src/mustardhold/daemons/table_feed.py
+++ b/src/mustardhold/daemons/table_feed.py
@@ -5,13 +5,18 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
+from urllib.parse import urlencode
 
-import httpx
 import msgspec
 import trio
 
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.disk import FolderDisk, open_folder
+from mustardhold.adapters.http_client import (
+    HttpClient,
+    HttpRequest,
+    send_request,
+)
 from mustardhold.adapters.table_store import load_table, save_table
 from mustardhold.daemons.table_pages import TableWatch, wake_watchers
 from mustardhold.systems.routing import install_table
@@ -23,6 +28,7 @@
     TABLE_POLL_RETRY,
 )
 from mustardhold.tables.options import BalancerOptions
+from mustardhold.tables.outcomes import Err
 from mustardhold.tables.routing import RoutingTable, TableChanges
 
 POLL_TIMEOUT = (TABLE_POLL + TABLE_POLL_MARGIN).total_seconds()
@@ -76,7 +82,7 @@
     return itertools.cycle((*ordered, *feed.options.table_peers))
 
 
-async def follow_tables(client: httpx.AsyncClient, feed: TableFeed) -> None:
+async def follow_tables(client: HttpClient, feed: TableFeed) -> None:
     """Put each newer table in force, from the first source that has it."""
     for address in sources(feed):
         while await follow_once(client, feed, address):
@@ -86,7 +92,7 @@
 
 
 async def follow_once(
-    client: httpx.AsyncClient, feed: TableFeed, address: str
+    client: HttpClient, feed: TableFeed, address: str
 ) -> bool:
     """Poll a source once.
 
@@ -96,11 +102,10 @@
         Whether the source is worth another poll.
     """
     version = feed.tables.routing.version
-    try:
-        changes = await poll_changes(
-            client, address, version, feed.options.instance_id
-        )
-    except (httpx.HTTPError, msgspec.DecodeError):
+    changes = await poll_changes(
+        client, address, version, feed.options.instance_id
+    )
+    if changes is None:
         feed.tables.counters['', 'table-poll-failed'] += 1
         feed.is_current = False
         return False
@@ -126,13 +131,15 @@
 
 
 async def poll_changes(
-    client: httpx.AsyncClient, address: str, version: int, balancer: str
-) -> TableChanges:
-    """Ask a source for what changed after a version."""
-    reply = await client.get(
-        f'http://{address}/changes',
-        params={'after': version, 'balancer': balancer},
-        timeout=POLL_TIMEOUT,
-    )
-    reply.raise_for_status()
-    return _decoder.decode(reply.content)
+    client: HttpClient, address: str, version: int, balancer: str
+) -> TableChanges | None:
+    """Ask a source for what changed after a version; it may not answer."""
+    query = urlencode({'after': version, 'balancer': balancer})
+    request = HttpRequest('GET', address, f'/changes?{query}')
+    asked = await send_request(client, request, POLL_TIMEOUT)
+    if isinstance(asked, Err) or not asked.value.is_success:
+        return None
+    try:
+        return _decoder.decode(asked.value.body)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -0,0 +1,269 @@
+"""The balancer process of a fleet whose flows carry their server's token."""
+
+import functools
+import logging
+import socket
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import trio
+
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.http_app import HandlersByPath, make_app
+from mustardhold.adapters.http_server import serve_http
+from mustardhold.daemons.faults import Faults, note_fault
+from mustardhold.daemons.feed_watch import FeedWatch, run_watch
+from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
+from mustardhold.daemons.stopping import stop_on_signal
+from mustardhold.systems.directory import forget_servers
+from mustardhold.systems.token_forwarding import (
+    decide,
+    install_configuration,
+    version_of,
+)
+from mustardhold.tables.configurations import (
+    Configuration,
+    VersionedDocument,
+)
+from mustardhold.tables.constants import FORWARD_AFTER_STOP, WATCHED_CONTROLS
+from mustardhold.tables.directory import KnownServer, ServerReport, ServerState
+from mustardhold.tables.feed import FeedReply
+from mustardhold.tables.forwarding import (
+    CallerPacket,
+    Decision,
+    Drop,
+    DropCause,
+    Forward,
+    ForwardingTables,
+    Reset,
+)
+from mustardhold.tables.options import TokenBalancerOptions
+from mustardhold.tables.outcomes import Err, Outcome
+from mustardhold.tables.routing import Finding
+
+FORGET_SECONDS = 5
+
+
+class Datagram(NamedTuple):
+    """What to send where."""
+
+    payload: bytes
+    address: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class PacketCodec:
+    """How packets look to callers and backend servers.
+
+    Attributes
+    ----------
+    read
+        Reads the head of a caller's packet; nothing where it is malformed.
+    forward
+        Addresses a packet to a server.
+    reset
+        Makes the packet that ends a caller's flow.
+    """
+
+    read: Callable[[bytes], CallerPacket | None]
+    forward: Callable[[bytes, KnownServer], Datagram]
+    reset: Callable[[CallerPacket], Datagram]
+
+
+ReadConfiguration = Outcome[Configuration, tuple[Finding, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class Codecs:
+    """How the outside world speaks."""
+
+    packets: PacketCodec
+    configuration: Callable[[VersionedDocument], ReadConfiguration]
+
+
+@dataclass(slots=True)
+class TokenBalancer:
+    """A running balancer."""
+
+    options: TokenBalancerOptions
+    tables: ForwardingTables
+    codecs: Codecs
+    clock: Clock
+    log: logging.Logger
+    sock: socket.socket
+    watch: FeedWatch
+    faults: Faults
+
+
+Task = Callable[[], Coroutine[Any, Any, None]]
+
+
+def make_token_balancer(
+    options: TokenBalancerOptions,
+    codecs: Codecs,
+    clock: Clock,
+    log: logging.Logger,
+) -> TokenBalancer:
+    """Open the socket for packets, and start with empty tables."""
+    tables = ForwardingTables(options.report_interval)
+    watch = FeedWatch(
+        options.instance_id,
+        '',
+        tables.directory,
+        clock,
+        log,
+        WATCHED_CONTROLS,
+        set(options.control_addresses),
+        functools.partial(version_of, tables),
+        lambda document: take_configuration(balancer, document),
+        lambda report: note_report(balancer, report),
+        lambda reply: note_reply(balancer, reply),
+    )
+    balancer = TokenBalancer(
+        options,
+        tables,
+        codecs,
+        clock,
+        log,
+        bind_socket(options.data_address),
+        watch,
+        Faults(log, tables.counters),
+    )
+    return balancer
+
+
+def take_configuration(
+    balancer: TokenBalancer, document: VersionedDocument
+) -> None:
+    """Put a newer configuration in force."""
+    read = balancer.codecs.configuration(document)
+    if isinstance(read, Err):
+        balancer.tables.counters['', 'configuration-unreadable'] += 1
+        balancer.log.error(
+            'configuration is unreadable',
+            extra={
+                'version': document.version,
+                'findings': [str(one) for one in read.error],
+            },
+        )
+        return
+    if install_configuration(balancer.tables, read.value):
+        balancer.log.info(
+            'configuration in force', extra={'version': document.version}
+        )
+
+
+def note_report(balancer: TokenBalancer, report: ServerReport) -> None:
+    """Log a change in what is believed of a server."""
+    if report.sequence > 1 and report.state is ServerState.READY:
+        return
+    balancer.log.info(
+        'server known',
+        extra={
+            'server': report.server_id,
+            'incarnation': report.incarnation,
+            'sequence': report.sequence,
+            'state': report.state,
+        },
+    )
+
+
+def note_reply(balancer: TokenBalancer, reply: FeedReply) -> None:
+    """Note that a control instance told its state."""
+    if reply.is_current:
+        balancer.tables.fed_at = balancer.clock.monotonic()
+
+
+def take_datagram(balancer: TokenBalancer, raw: bytes) -> None:
+    """Handle one packet of a caller."""
+    packet = balancer.codecs.packets.read(raw)
+    if packet is None:
+        balancer.tables.counters['', DropCause.MALFORMED] += 1
+        return
+    now = balancer.clock.monotonic()
+    decision = decide(balancer.tables, now, packet)
+    follow_decision(balancer, raw, packet, decision)
+
+
+def follow_decision(
+    balancer: TokenBalancer,
+    raw: bytes,
+    packet: CallerPacket,
+    decision: Decision,
+) -> None:
+    """Send what was decided, and count it."""
+    counters = balancer.tables.counters
+    match decision:
+        case Forward(servers):
+            for known in servers:
+                send(balancer, balancer.codecs.packets.forward(raw, known))
+            counters['', 'opened' if packet.is_opening else 'forwarded'] += 1
+        case Reset(cause):
+            send(balancer, balancer.codecs.packets.reset(packet))
+            counters['reset', cause] += 1
+        case Drop(cause):
+            counters['drop', cause] += 1
+
+
+def send(balancer: TokenBalancer, datagram: Datagram) -> None:
+    """Send a datagram; one that cannot leave at once is dropped."""
+    try:
+        balancer.sock.sendto(datagram.payload, datagram.address)
+    except OSError as error:
+        note_fault(balancer.faults, 'send-failed', error)
+
+
+async def leave_on_signal(balancer: TokenBalancer, left: trio.Event) -> None:
+    """Turn unready at a signal, and forward until callers are elsewhere."""
+    signalled = trio.Event()
+    await stop_on_signal(signalled)
+    balancer.log.info('balancer stopping')
+    balancer.tables.is_stopping = True
+    await trio.sleep(FORWARD_AFTER_STOP.total_seconds())
+    left.set()
+
+
+async def forget_on(balancer: TokenBalancer) -> None:
+    """Forget servers that are long gone, from time to time."""
+    while True:
+        await trio.sleep(FORGET_SECONDS)
+        forget_servers(balancer.tables.directory, balancer.clock.monotonic())
+
+
+async def run_token_balancer(
+    balancer: TokenBalancer, pages: HandlersByPath, watch_settings: Task
+) -> None:
+    """Run a balancer until it is told to stop.
+
+    Parameters
+    ----------
+    pages
+        What the fabric sees.
+    watch_settings
+        Takes changed settings over.
+    """
+    left = trio.Event()
+    app = make_app(
+        pages,
+        note_fault=functools.partial(
+            note_fault, balancer.faults, 'http-failed'
+        ),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leave_on_signal, balancer, left)
+        nursery.start_soon(
+            run_packet_loop,
+            balancer.sock,
+            balancer.sock.recv,
+            functools.partial(take_datagram, balancer),
+            balancer.faults,
+            lambda _: None,
+        )
+        nursery.start_soon(run_watch, balancer.watch)
+        nursery.start_soon(forget_on, balancer)
+        nursery.start_soon(watch_settings)
+        balancer.log.info('balancer started')
+        await serve_http(app, balancer.options.http_address, left)
+        balancer.log.info('balancer stopped')
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/mustardhold/platform/pages.py
@@ -0,0 +1,110 @@
+"""The pages that the platform, its servers and its operators call."""
+
+import functools
+from http import HTTPStatus
+
+from mustardhold.adapters.http_app import (
+    JSON_TYPE,
+    Ask,
+    HandlersByPath,
+    Reply,
+    refuse,
+    refuse_all,
+)
+from mustardhold.daemons.registry_control import (
+    RegistryControl,
+    announce,
+    read_configuration,
+    replace_configuration,
+)
+from mustardhold.daemons.token_balancer import TokenBalancer
+from mustardhold.platform.configurations import read_body
+from mustardhold.platform.reports import read_leave, read_report
+from mustardhold.systems.directory import ended
+from mustardhold.systems.token_forwarding import is_ready
+from mustardhold.tables.outcomes import Err
+from mustardhold.tables.routing import Accepted
+
+EMPTY = b'{}'
+
+
+async def take_report(control: RegistryControl, ask: Ask) -> Reply:
+    """Handle a backend server's report."""
+    read = read_report(ask.name, ask.body)
+    if isinstance(read, Err):
+        control.node.replica.counters['report', 'malformed'] += 1
+        return refuse_all(read.error)
+    if await announce(control, read.value):
+        return Reply(HTTPStatus.OK, EMPTY)
+    return refuse('', 'not shared yet', HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+async def take_leave(control: RegistryControl, ask: Ask) -> Reply:
+    """Handle a backend server's last report."""
+    read = read_leave(ask.body)
+    if isinstance(read, Err):
+        return refuse_all(read.error)
+    known = control.directory.servers_by_id.get(ask.name)
+    if known is None or read.value not in {0, known.report.incarnation}:
+        return Reply(HTTPStatus.OK, EMPTY)
+    if await announce(control, ended(known.report)):
+        return Reply(HTTPStatus.OK, EMPTY)
+    return refuse('', 'not shared yet', HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+async def take_configuration(control: RegistryControl, ask: Ask) -> Reply:
+    """Handle an operator's configuration."""
+    read = read_body(ask.body)
+    if isinstance(read, Err):
+        control.node.log.warning(
+            'configuration refused',
+            extra={'findings': [str(one) for one in read.error]},
+        )
+        return refuse_all(read.error)
+    outcome = await replace_configuration(control, read.value)
+    control.node.log.info(
+        'configuration answered',
+        extra={
+            'version': read.value.version,
+            'outcome': type(outcome).__name__,
+        },
+    )
+    if isinstance(outcome, Accepted):
+        return Reply(HTTPStatus.OK, EMPTY)
+    return refuse('', 'no majority', HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+async def show_configuration(control: RegistryControl, _: Ask) -> Reply:
+    """Handle an operator's wish to read the configuration."""
+    held = await read_configuration(control)
+    if held is None or not held.version:
+        return refuse('', 'not certain', HTTPStatus.SERVICE_UNAVAILABLE)
+    return Reply(HTTPStatus.OK, held.document, JSON_TYPE)
+
+
+async def show_readiness(balancer: TokenBalancer, _: Ask) -> Reply:
+    """Tell the fabric whether to send packets here."""
+    if is_ready(balancer.tables):
+        return Reply(HTTPStatus.OK, EMPTY)
+    return refuse('', 'not ready', HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def make_control_pages(control: RegistryControl) -> HandlersByPath:
+    """Make the pages of a control instance."""
+    handlers = {
+        ('POST', '/api/instances/*/heartbeat'): take_report,
+        ('POST', '/api/instances/*/leave'): take_leave,
+        ('POST', '/api/configuration/replace'): take_configuration,
+        ('GET', '/api/configuration/get'): show_configuration,
+    }
+    return {
+        page: functools.partial(handler, control)
+        for page, handler in handlers.items()
+    }
+
+
+def make_balancer_pages(balancer: TokenBalancer) -> HandlersByPath:
+    """Make the pages of a balancer."""
+    return {
+        ('GET', '/api/readiness'): functools.partial(show_readiness, balancer)
+    }
--- /dev/null
+++ b/src/mustardhold/platform/reports.py
@@ -0,0 +1,110 @@
+"""What backend servers say of themselves, as the platform writes it."""
+
+from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+
+from mustardhold.platform.packets import server_number
+from mustardhold.tables.directory import (
+    LAST_SEQUENCE,
+    ServerReport,
+    ServerState,
+)
+from mustardhold.tables.outcomes import Err, Ok, Outcome
+from mustardhold.tables.routing import Finding
+
+Count = Annotated[int, msgspec.Meta(ge=0, lt=LAST_SEQUENCE)]
+Positive = Annotated[int, msgspec.Meta(gt=0)]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+]
+MAX_SERVER_NUMBER = 2**64 - 1
+
+
+class WireState(StrEnum):
+    """Stages that a server tells."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class WireReport(msgspec.Struct, frozen=True):
+    """A repeated report.
+
+    Attributes
+    ----------
+    zone
+        The server's data centre.
+    cold_remaining_ms
+        For how much longer the server is slow after its start.
+    born
+        Start of the server, in milliseconds since 1970.
+    """
+
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    address: Address
+    zone: str
+    slots: Positive
+    state: WireState
+    sequence: Count
+    cold_remaining_ms: Count = 0
+    born: Count = 0
+
+
+class WireLeave(msgspec.Struct, frozen=True):
+    """The last report; it may be empty."""
+
+    born: Count = 0
+
+
+_report_decoder = msgspec.json.Decoder(WireReport)
+_leave_decoder = msgspec.json.Decoder(WireLeave)
+
+
+def find_id_fault(server_id: str) -> Finding | None:
+    """Find why no packet could name a server."""
+    try:
+        number = server_number(server_id)
+    except ValueError:
+        return Finding('id', 'has no hex digits')
+    if not 0 < number <= MAX_SERVER_NUMBER:
+        return Finding('id', 'is out of range')
+    return None
+
+
+def read_report(
+    server_id: str, raw: bytes
+) -> Outcome[ServerReport, tuple[Finding, ...]]:
+    """Read a report, or find what is wrong with it."""
+    fault = find_id_fault(server_id)
+    try:
+        wire = _report_decoder.decode(raw)
+    except (msgspec.DecodeError, RecursionError) as error:
+        found = Finding('body', str(error))
+        return Err((found,) if fault is None else (fault, found))
+    if fault is not None:
+        return Err((fault,))
+    return Ok(
+        ServerReport(
+            server_id,
+            wire.born,
+            wire.sequence,
+            wire.service,
+            wire.address,
+            wire.zone,
+            wire.slots,
+            ServerState(wire.state.value),
+            wire.cold_remaining_ms,
+        )
+    )
+
+
+def read_leave(raw: bytes) -> Outcome[int, tuple[Finding, ...]]:
+    """Read which incarnation leaves; 0 for the one that is known."""
+    if not raw:
+        return Ok(0)
+    try:
+        return Ok(_leave_decoder.decode(raw).born)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return Err((Finding('body', str(error)),))
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -10,11 +10,13 @@
 from mustardhold.systems.election import (
     check_quorum,
     has_lease,
+    hears_leader,
     put_off_election,
     start_trial,
     take_vote_reply,
     take_vote_request,
 )
+from mustardhold.systems.replica_growth import grow_group
 from mustardhold.systems.replica_log import (
     append_command,
     compact,
@@ -34,9 +36,12 @@
     take_append_reply,
     take_snapshot,
 )
+from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.consensus import (
     AppendReply,
     AppendRequest,
+    Command,
+    ConfigurationCommand,
     EditCommand,
     Effects,
     Hello,
@@ -58,6 +63,7 @@
 from mustardhold.tables.constants import MAX_PENDING_ENTRIES
 from mustardhold.tables.edits import EditState
 from mustardhold.tables.routing import (
+    Accepted,
     Edit,
     EditOutcome,
     NoQuorum,
@@ -67,6 +73,7 @@
 )
 
 Proposed = EditOutcome | RepeatedEdit | Pending | NotLeader
+ProposedConfiguration = Accepted | NoQuorum | Overloaded | Pending | NotLeader
 
 
 def empty_snapshot() -> Snapshot:
@@ -116,6 +123,7 @@
     replica.snapshot = snapshot
     replica.log = log
     replica.edits = copy_state(snapshot.edits)
+    replica.configuration = snapshot.configuration
     replica.commit_index = snapshot.index
     find_members(replica)
 
@@ -158,7 +166,10 @@
     if replica.role is not Role.LEADER:
         return
     commit_majority(replica, effects)
-    promote_learners(replica, now, effects)
+    if replica.growth is None:
+        promote_learners(replica, now, effects)
+    else:
+        grow_group(replica, now, replica.growth, effects)
     if now >= replica.heartbeat_at:
         broadcast(replica, now, effects)
 
@@ -188,13 +199,64 @@
     findings = tuple(find_lasting_faults(edit))
     if findings:
         return Refused(findings), effects
-    if not has_lease(replica, now) or not has_opened_term(replica):
-        return NoQuorum(None), effects
-    if last_entry(replica).index - replica.commit_index >= MAX_PENDING_ENTRIES:
-        return Overloaded(), effects
     command = EditCommand(edit, replica.me.instance_id, taken_at)
+    return propose_command(replica, now, command, effects), effects
+
+
+def propose_command(
+    replica: Replica, now: float, command: Command, effects: Effects
+) -> NoQuorum | Overloaded | Pending:
+    """Append a command as the leader, and send it on."""
+    if not is_certain(replica, now):
+        return NoQuorum(None)
+    if last_entry(replica).index - replica.commit_index >= MAX_PENDING_ENTRIES:
+        return Overloaded()
     entry = append_command(replica, command, effects)
     commit_majority(replica, effects)
     broadcast(replica, now, effects)
     compact(replica, effects)
-    return Pending(entry.index, entry.term), effects
+    return Pending(entry.index, entry.term)
+
+
+def is_certain(replica: Replica, now: float) -> bool:
+    """Tell whether this leader surely holds all that was ever committed."""
+    return has_lease(replica, now) and has_opened_term(replica)
+
+
+def is_current(replica: Replica, now: float) -> bool:
+    """Tell whether this replica would know of what was just committed."""
+    if replica.role is Role.LEADER:
+        return is_certain(replica, now)
+    is_following = replica.leader is not None and hears_leader(replica, now)
+    return is_following and replica.commit_index >= replica.leader_commit_index
+
+
+def propose_configuration(
+    replica: Replica, now: float, configuration: VersionedDocument
+) -> tuple[ProposedConfiguration, Effects]:
+    """Take a configuration as the leader.
+
+    Returns
+    -------
+    ProposedConfiguration, Effects
+        Where it waits; ``Accepted`` with the version in force where that is
+        as high already, so that nothing has to change.
+    """
+    effects = Effects()
+    if replica.role is not Role.LEADER:
+        return NotLeader(replica.leader), effects
+    held = replica.configuration.version
+    if configuration.version <= held:
+        return Accepted(held), effects
+    command = ConfigurationCommand(configuration)
+    return propose_command(replica, now, command, effects), effects
+
+
+def read_configuration(
+    replica: Replica, now: float
+) -> VersionedDocument | NotLeader:
+    """Read the configuration in force, where that is certain."""
+    if is_certain(replica, now):
+        return replica.configuration
+    is_leader = replica.role is Role.LEADER
+    return NotLeader(None if is_leader else replica.leader)
--- a/src/mustardhold/systems/replica_log.py
+++ b/src/mustardhold/systems/replica_log.py
@@ -109,7 +109,9 @@
         return
     members = members_at(replica, index)
     edits = copy_state(replica.edits)
-    replica.snapshot = Snapshot(index, entry.term, members, edits)
+    replica.snapshot = Snapshot(
+        index, entry.term, members, edits, replica.configuration
+    )
     first = max(index - KEPT_ENTRIES, replica.log[0].index)
     del replica.log[: first - replica.log[0].index]
     effects.snapshot = replica.snapshot
@@ -124,6 +126,7 @@
         replica.log = [LogEntry(snapshot.term, snapshot.index, NoOp())]
     replica.snapshot = snapshot
     replica.edits = copy_state(snapshot.edits)
+    replica.configuration = snapshot.configuration
     replica.commit_index = snapshot.index
     find_members(replica)
     effects.snapshot = snapshot
--- a/src/mustardhold/systems/replica_membership.py
+++ b/src/mustardhold/systems/replica_membership.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from mustardhold.systems.election import has_lease, heard_at, others
+from mustardhold.systems.election import (
+    has_lease,
+    heard_at,
+    hears_leader,
+    others,
+)
 from mustardhold.systems.replica_log import (
     append_command,
     entry_at,
@@ -49,17 +54,43 @@
 
 
 def introduce(replica: Replica, now: float, effects: Effects) -> None:
-    """Say hello to all peers, until this replica belongs to a group."""
-    if is_formed(replica) or now < replica.hello_at:
+    """Say hello to all peers, until this replica belongs to a group.
+
+    In a group that grows on its own, a replica also does so once it no
+    longer hears a leader: it may have been replaced meanwhile.
+    """
+    if now < replica.hello_at or is_settled(replica, now):
         return
     replica.hello_at = now + HELLO_INTERVAL.total_seconds()
-    hello = Hello(replica.me, is_formed=False, is_answer=False)
+    hello = Hello(
+        replica.me, is_formed(replica), is_answer=False, members=replica.members
+    )
     effects.sends.extend(
-        ReplicaSend(peer, hello)
-        for peer in replica.peers
-        if peer.instance_id != replica.me.instance_id
+        ReplicaSend(peer, hello) for peer in known_peers(replica)
+    )
+    if not is_formed(replica):
+        form_group(replica, now, effects)
+
+
+def is_settled(replica: Replica, now: float) -> bool:
+    """Tell whether this replica need not introduce itself."""
+    if replica.growth is None:
+        return is_formed(replica)
+    return is_formed(replica) and hears_leader(replica, now)
+
+
+def known_peers(replica: Replica) -> Members:
+    """Return the other replicas of the settings, the log and the hellos."""
+    by_id = {peer.instance_id: peer for peer in replica.peers}
+    if replica.growth is not None:
+        for seen in replica.hellos_by_instance.values():
+            by_id.update((one.instance_id, one) for one in seen.hello.members)
+    by_id.update((member.instance_id, member) for member in replica.members)
+    by_id.pop(replica.me.instance_id, None)
+    # The folder behind an address may be another one by now.
+    return tuple(
+        msgspec.structs.replace(peer, uid='') for peer in by_id.values()
     )
-    form_group(replica, now, effects)
 
 
 def take_hello(
@@ -73,7 +104,12 @@
         return
     seen[instance_id] = HelloSeen(hello, now)
     if not hello.is_answer:
-        answer = Hello(replica.me, is_formed(replica), is_answer=True)
+        answer = Hello(
+            replica.me,
+            is_formed(replica),
+            is_answer=True,
+            members=replica.members,
+        )
         effects.sends.append(ReplicaSend(hello.sender, answer))
 
 
@@ -83,6 +119,8 @@
     Only the first peer by name forms it, and only with every peer there, so
     a replica that lost its disk finds at least one that knows the group.
     """
+    if replica.growth is not None and not replica.growth.may_form:
+        return
     first = min(peer.instance_id for peer in replica.peers)
     members = new_members(replica, now)
     if first != replica.me.instance_id or members is None:
--- a/src/mustardhold/systems/replication.py
+++ b/src/mustardhold/systems/replication.py
@@ -21,7 +21,9 @@
 from mustardhold.tables.consensus import (
     AppendReply,
     AppendRequest,
+    AppliedConfiguration,
     AppliedEdit,
+    ConfigurationCommand,
     EditCommand,
     Effects,
     LogEntry,
@@ -114,6 +116,7 @@
     if not hear_leader(replica, now, request.sender, request.term, effects):
         answer_append(replica, request, effects, is_matching=False)
         return
+    replica.leader_commit_index = request.commit_index
     is_matching = is_previous_known(replica, request)
     if is_matching:
         merge_entries(replica, request.entries, effects)
@@ -231,6 +234,8 @@
         replica.commit_index = entry.index
         if isinstance(entry.command, EditCommand):
             apply_command(replica, entry, entry.command, effects)
+        elif isinstance(entry.command, ConfigurationCommand):
+            apply_configuration(replica, entry, entry.command, effects)
 
 
 def apply_command(
@@ -244,3 +249,18 @@
     effects.applied.append(
         AppliedEdit(entry.index, entry.term, command.edit.edit_id, outcome)
     )
+
+
+def apply_configuration(
+    replica: Replica,
+    entry: LogEntry,
+    command: ConfigurationCommand,
+    effects: Effects,
+) -> None:
+    """Put a committed configuration in force, unless a higher one is."""
+    is_newer = command.configuration.version > replica.configuration.version
+    if is_newer:
+        replica.configuration = command.configuration
+    effects.applied.append(
+        AppliedConfiguration(entry.index, entry.term, is_newer)
+    )
--- /dev/null
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -0,0 +1,202 @@
+"""Decides where a caller's packet goes, without any state for its flow."""
+
+import math
+import struct
+
+import xxhash
+
+from mustardhold.systems.directory import is_ended, owns_token
+from mustardhold.tables.configurations import Configuration, ServiceRoute
+from mustardhold.tables.constants import (
+    COLD_WEIGHT,
+    FEED_FRESH,
+    OPENINGS_AT_ONCE,
+    SILENT_INTERVALS,
+)
+from mustardhold.tables.directory import KnownServer, ServerState
+from mustardhold.tables.forwarding import (
+    CallerPacket,
+    Decision,
+    Drop,
+    DropCause,
+    Forward,
+    ForwardingTables,
+    Reset,
+)
+
+FLOW_FORMAT = struct.Struct('!IHIH')
+HASH_RANGE = 2**64
+
+
+def flow_key(packet: CallerPacket) -> bytes:
+    """Pack both ends of a flow."""
+    return FLOW_FORMAT.pack(*packet.caller, *packet.service_address)
+
+
+def decide(
+    tables: ForwardingTables, now: float, packet: CallerPacket
+) -> Decision:
+    """Decide where a packet goes."""
+    configuration = tables.configuration
+    if configuration is None:
+        return Drop(DropCause.NO_CONFIGURATION)
+    route = configuration.routes_by_address.get(packet.service_address)
+    if packet.is_opening:
+        return decide_opening(tables, now, packet, route)
+    if route is None:
+        return decide_routeless(tables, packet)
+    return decide_by_token(tables, packet)
+
+
+def decide_routeless(
+    tables: ForwardingTables, packet: CallerPacket
+) -> Decision:
+    """End a flow whose route was removed; leave others alone."""
+    if packet.service_address in tables.removed_addresses:
+        return end_flow(packet, DropCause.NO_ROUTE)
+    return Drop(DropCause.NO_ROUTE)
+
+
+def end_flow(packet: CallerPacket, cause: DropCause) -> Decision:
+    """Reset a flow, unless its caller has done so."""
+    return Drop(cause) if packet.is_reset else Reset(cause)
+
+
+def decide_by_token(tables: ForwardingTables, packet: CallerPacket) -> Decision:
+    """Pass a packet on to the server that its token names."""
+    if packet.token == 0:
+        return Drop(DropCause.NO_TOKEN)
+    known = tables.directory.servers_by_token.get(packet.token)
+    if known is None:
+        return Drop(DropCause.UNKNOWN_TOKEN)
+    if is_ended(tables.directory, known):
+        return end_flow(packet, DropCause.FLOW_ENDED)
+    return Forward((known,))
+
+
+def decide_opening(
+    tables: ForwardingTables,
+    now: float,
+    packet: CallerPacket,
+    route: ServiceRoute | None,
+) -> Decision:
+    """Choose the servers that a flow may open at.
+
+    It opens at the one whose answer its caller takes up. Copies of an
+    opening, which mean that no answer came, go to the next choices.
+    """
+    if route is None:
+        return refuse_opening(tables, now)
+    flow = flow_key(packet)
+    servers = order_servers(tables, now, choose_service(route, flow), flow)
+    if not servers:
+        return Drop(DropCause.NO_SERVER)
+    first = packet.attempt * OPENINGS_AT_ONCE
+    count = min(OPENINGS_AT_ONCE, len(servers))
+    chosen = (servers[(first + one) % len(servers)] for one in range(count))
+    return Forward(tuple(chosen))
+
+
+def refuse_opening(tables: ForwardingTables, now: float) -> Decision:
+    """Refuse an opening to no route, unless a route may be news to come."""
+    if now - tables.fed_at < FEED_FRESH.total_seconds():
+        return Reset(DropCause.NO_ROUTE)
+    return Drop(DropCause.NO_ROUTE)
+
+
+def choose_service(route: ServiceRoute, flow: bytes) -> str:
+    """Choose a service by the weights of a route and the flow."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(target.weight for target in route.targets)
+    point = xxhash.xxh3_64_intdigest(flow) / HASH_RANGE * total
+    for target in route.targets:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return route.targets[-1].service
+
+
+def order_servers(
+    tables: ForwardingTables, now: float, service: str, flow: bytes
+) -> list[KnownServer]:
+    """Order a service's servers by a weighted rendezvous hash of the flow.
+
+    Servers whose reports ceased come in only where there is no other.
+    """
+    servers = servers_of(tables, service)
+    heard = [known for known in servers if not is_silent(tables, now, known)]
+    return sorted(
+        heard or servers, key=lambda known: distance(now, known, flow)
+    )
+
+
+def distance(now: float, known: KnownServer, flow: bytes) -> float:
+    """Draw a server's exponential distance; twice the weight halves it."""
+    key = flow + known.token.to_bytes(4, 'big')
+    drawn = (xxhash.xxh3_64_intdigest(key) + 1) / HASH_RANGE
+    return -math.log(drawn) / weight_of(known, now)
+
+
+def weight_of(known: KnownServer, now: float) -> float:
+    """Return a server's share of new flows, relative to the others."""
+    if now < known.slow_until:
+        return known.report.slots * COLD_WEIGHT
+    return known.report.slots
+
+
+def is_silent(tables: ForwardingTables, now: float, known: KnownServer) -> bool:
+    """Tell whether a server has missed reports that would have come through.
+
+    While no control instance tells anything, no server counts as silent.
+    """
+    allowed = tables.report_interval.total_seconds() * SILENT_INTERVALS
+    return min(now, tables.fed_at) - known.heard_at > allowed
+
+
+def servers_of(tables: ForwardingTables, service: str) -> list[KnownServer]:
+    """Return a service's servers that may get new flows."""
+    directory, index = tables.directory, tables.index
+    if index.revision != directory.urgent_revision:
+        index.revision = directory.urgent_revision
+        index.servers_by_service = {}
+        for known in directory.servers_by_id.values():
+            is_ready = known.report.state is ServerState.READY
+            if is_ready and owns_token(directory, known):
+                index.servers_by_service.setdefault(
+                    known.report.service, []
+                ).append(known)
+    return index.servers_by_service.get(service, [])
+
+
+def install_configuration(
+    tables: ForwardingTables, configuration: Configuration
+) -> bool:
+    """Put a newer configuration in force.
+
+    Returns
+    -------
+    bool
+        Whether it was newer.
+    """
+    before = tables.configuration
+    if before is not None:
+        if configuration.version <= before.version:
+            return False
+        tables.removed_addresses.update(before.routes_by_address)
+    tables.removed_addresses.difference_update(configuration.routes_by_address)
+    tables.configuration = configuration
+    return True
+
+
+def version_of(tables: ForwardingTables) -> int:
+    """Return the version in force; 0 before the first."""
+    configuration: Configuration | None = tables.configuration
+    return 0 if configuration is None else configuration.version
+
+
+def is_ready(tables: ForwardingTables) -> bool:
+    """Tell whether the balancer can place flows of its routes."""
+    if tables.is_stopping or tables.configuration is None:
+        return False
+    return bool(tables.directory.servers_by_id)
--- /dev/null
+++ b/src/mustardhold/tables/configurations.py
@@ -0,0 +1,87 @@
+"""Configurations that replace each other whole, by version."""
+
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+import msgspec
+
+
+class VersionedDocument(msgspec.Struct, frozen=True):
+    """A configuration as its operator sent it.
+
+    Attributes
+    ----------
+    version
+        Chosen by the operator; the highest committed one is in force.
+    document
+        The bytes that were sent, so that they can be read back unchanged.
+    """
+
+    version: int
+    document: bytes
+
+
+NO_DOCUMENT: Final = VersionedDocument(0, b'')
+"""Held before the first configuration."""
+
+
+class RequestKind(StrEnum):
+    """What may be done again with the requests of a route."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    DOWNLOAD = 'download'
+
+
+class ServiceAddress(NamedTuple):
+    """Where callers reach a service: IPv4 address and port as numbers."""
+
+    ip: int
+    port: int
+
+
+class WeightedService(NamedTuple):
+    """A share of a route's new flows."""
+
+    service: str
+    weight: float
+
+
+class ServiceRoute(msgspec.Struct, frozen=True):
+    """Which services the new flows to an address may go to."""
+
+    name: str
+    address: ServiceAddress
+    kind: RequestKind
+    targets: tuple[WeightedService, ...]
+
+
+class ServiceLimits(msgspec.Struct, frozen=True):
+    """What holds for the servers of a service.
+
+    Attributes
+    ----------
+    health_path
+        Page that tells whether a server considers itself healthy.
+    connection_limit
+        Flows that one server holds at most.
+    """
+
+    name: str
+    health_path: str
+    connection_limit: int
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """A decoded configuration.
+
+    Attributes
+    ----------
+    idle_seconds
+        After this time without a packet a flow may be forgotten.
+    """
+
+    version: int
+    routes_by_address: dict[ServiceAddress, ServiceRoute]
+    services_by_name: dict[str, ServiceLimits]
+    idle_seconds: float
--- a/src/mustardhold/tables/consensus.py
+++ b/src/mustardhold/tables/consensus.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.edits import EditState
 from mustardhold.tables.routing import Edit, EditOutcome, RepeatedEdit
 
@@ -29,12 +30,15 @@
     uid
         Identity of its data folder; a folder that was lost gets another one.
         Empty where the folder is not known yet.
+    data_centre
+        Where it runs; empty where nothing depends on it.
     """
 
     uid: str
     instance_id: str
     http_address: str
     is_voter: bool = True
+    data_centre: str = ''
 
 
 Members = tuple[ReplicaMember, ...]
@@ -64,7 +68,13 @@
     members: Members
 
 
-Command = NoOp | EditCommand | MembersCommand
+class ConfigurationCommand(msgspec.Struct, frozen=True, tag='configuration'):
+    """A configuration; it takes effect if its version is the highest."""
+
+    configuration: VersionedDocument
+
+
+Command = NoOp | EditCommand | MembersCommand | ConfigurationCommand
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -89,6 +99,7 @@
     term: int
     members: Members
     edits: EditState
+    configuration: VersionedDocument = NO_DOCUMENT
 
 
 class VoteRequest(msgspec.Struct, frozen=True, tag='vote-request'):
@@ -160,11 +171,18 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello'):
-    """Says who a replica is, before it is a member."""
+    """Says who a replica is, before it is a member.
+
+    Attributes
+    ----------
+    members
+        The members that the sender knows.
+    """
 
     sender: ReplicaMember
     is_formed: bool
     is_answer: bool
+    members: Members = ()
 
 
 ReplicaMessage = (
@@ -194,6 +212,34 @@
     outcome: EditOutcome | RepeatedEdit
 
 
+@dataclass(frozen=True, slots=True)
+class AppliedConfiguration:
+    """A committed configuration, in force or overtaken by a higher one."""
+
+    index: int
+    term: int
+    is_in_force: bool
+
+
+Applied = AppliedEdit | AppliedConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class GrowthPolicy:
+    """How a group takes replicas in and replaces lost ones on its own.
+
+    Attributes
+    ----------
+    voters
+        Voters that the group aims at.
+    may_form
+        Whether this replica may found a group.
+    """
+
+    voters: int
+    may_form: bool
+
+
 @dataclass(slots=True)
 class Effects:
     """What has to follow a step, in this order: save, send, answer.
@@ -212,7 +258,7 @@
     kept_index: int | None = None
     appended: list[LogEntry] = field(default_factory=list)
     sends: list[ReplicaSend] = field(default_factory=list)
-    applied: list[AppliedEdit] = field(default_factory=list)
+    applied: list[Applied] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -253,6 +299,10 @@
         Never empty: the first entry is the last one that was dropped.
     members
         As the latest entry of the log says, committed or not.
+    growth
+        How the members change without an operator; none where they do not.
+    leader_commit_index
+        What the leader had committed when it was last heard.
     led_since
         When this replica became the leader.
     """
@@ -278,6 +328,9 @@
     progress_by_uid: dict[str, Progress] = field(default_factory=dict)
     hellos_by_instance: dict[str, HelloSeen] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
+    configuration: VersionedDocument = NO_DOCUMENT
+    growth: GrowthPolicy | None = None
+    leader_commit_index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -76,6 +76,9 @@
 LEADER_LEASE: Final = timedelta(milliseconds=800)
 HELLO_INTERVAL: Final = timedelta(milliseconds=500)
 HELLO_LIFETIME: Final = timedelta(seconds=3)
+REPLICA_HEARD: Final = timedelta(seconds=1)
+VOTER_LOST: Final = timedelta(milliseconds=2_500)
+LEARNER_KEPT: Final = timedelta(seconds=15)
 SNAPSHOT_RETRY: Final = timedelta(seconds=5)
 TABLE_POLL: Final = timedelta(milliseconds=1_500)
 TABLE_POLL_MARGIN: Final = timedelta(milliseconds=800)
@@ -89,3 +92,24 @@
 EDIT_TIMEOUT: Final = timedelta(seconds=3)
 MAX_LINK_MESSAGES: Final = 64
 MAX_REPLICA_BODY_BYTES: Final = 67_108_864
+
+HTTP_IDLE: Final = timedelta(seconds=15)
+TCP_SILENCE: Final = timedelta(seconds=2)
+MAX_HTTP_CONNECTIONS: Final = 2_048
+MAX_HTTP_ANSWER_BYTES: Final = 67_108_864
+MAX_IDLE_LINKS: Final = 8
+
+ENDED_SERVER_KEPT: Final = timedelta(seconds=90)
+SILENT_SERVER_KEPT: Final = timedelta(seconds=180)
+SILENT_INTERVALS: Final = 3.0
+OPENINGS_AT_ONCE: Final = 2
+COLD_WEIGHT: Final = 0.5
+FEED_WAIT: Final = timedelta(milliseconds=600)
+FEED_MARGIN: Final = timedelta(milliseconds=700)
+FEED_RETRY: Final = timedelta(milliseconds=500)
+FEED_FRESH: Final = timedelta(milliseconds=1_500)
+FEED_STALE: Final = timedelta(seconds=2)
+WATCHED_CONTROLS: Final = 2
+CONFIGURATION_TIMEOUT: Final = timedelta(milliseconds=900)
+LEAVE_TIMEOUT: Final = timedelta(milliseconds=850)
+FORWARD_AFTER_STOP: Final = timedelta(milliseconds=4_500)
--- /dev/null
+++ b/src/mustardhold/tables/feed.py
@@ -0,0 +1,47 @@
+"""What control instances tell balancers and each other."""
+
+import msgspec
+
+from mustardhold.tables.configurations import VersionedDocument
+from mustardhold.tables.directory import DirectoryRow
+
+
+class FeedAsk(msgspec.Struct, frozen=True):
+    """Asks for what changed.
+
+    Attributes
+    ----------
+    watcher
+        Name of the asking process.
+    run_id
+        Run of the asked process that ``after`` belongs to.
+    after
+        Revision of its directory that the watcher has merged.
+    version
+        Version of the configuration that the watcher has.
+    """
+
+    watcher: str
+    run_id: str = ''
+    after: int = 0
+    version: int = 0
+
+
+class FeedReply(msgspec.Struct, frozen=True):
+    """What changed.
+
+    Attributes
+    ----------
+    is_current
+        Whether the sender would know of a configuration that was just
+        committed.
+    controls
+        Internal addresses of all control instances that it knows.
+    """
+
+    run_id: str
+    revision: int
+    rows: tuple[DirectoryRow, ...]
+    is_current: bool
+    controls: tuple[str, ...]
+    configuration: VersionedDocument | None = None
--- /dev/null
+++ b/src/mustardhold/tables/forwarding.py
@@ -0,0 +1,114 @@
+"""Tables of a balancer that finds a flow's server by a token in its packets.
+
+Both ends of a flow return the token that a balancer wrote into the opening,
+so no balancer has to remember the flow.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import StrEnum
+from typing import NamedTuple
+
+from mustardhold.tables.configurations import (
+    Configuration,
+    ServiceAddress,
+)
+from mustardhold.tables.directory import Directory, KnownServer
+
+
+class CallerPacket(NamedTuple):
+    """The head of a packet that a caller sent.
+
+    Attributes
+    ----------
+    token
+        Names the flow's server; 0 in an opening.
+    attempt
+        Copies of an opening that were sent before this one.
+    acknowledged
+        What the caller last acknowledged of the server's bytes.
+    is_reset
+        Whether the caller gave the flow up.
+    """
+
+    caller: ServiceAddress
+    service_address: ServiceAddress
+    token: int
+    acknowledged: int
+    attempt: int
+    is_opening: bool
+    is_reset: bool
+
+
+class DropCause(StrEnum):
+    """Why a packet went nowhere."""
+
+    MALFORMED = 'malformed'
+    NO_CONFIGURATION = 'no-configuration'
+    NO_ROUTE = 'no-route'
+    NO_SERVER = 'no-server'
+    NO_TOKEN = 'no-token'
+    UNKNOWN_TOKEN = 'unknown-token'
+    FLOW_ENDED = 'flow-ended'
+
+
+class Forward(NamedTuple):
+    """Pass the packet on, once to each server, each with its own token."""
+
+    servers: tuple[KnownServer, ...]
+
+
+class Reset(NamedTuple):
+    """Tell the caller that the flow is over, or that it cannot open."""
+
+    cause: DropCause
+
+
+class Drop(NamedTuple):
+    """Do nothing."""
+
+    cause: DropCause
+
+
+Decision = Forward | Reset | Drop
+
+
+@dataclass(slots=True)
+class ServiceIndex:
+    """The servers that may get new flows, by service.
+
+    Attributes
+    ----------
+    revision
+        Urgent revision of the directory that the index was made from.
+    """
+
+    revision: int = -1
+    servers_by_service: dict[str, list[KnownServer]] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(slots=True)
+class ForwardingTables:
+    """What a balancer decides by.
+
+    Attributes
+    ----------
+    report_interval
+        Time between two reports of a server.
+    removed_addresses
+        Addresses whose route a configuration of this run has removed.
+    fed_at
+        When a current control instance last told the state; local clock.
+    """
+
+    report_interval: timedelta
+    directory: Directory = field(default_factory=Directory)
+    configuration: Configuration | None = None
+    removed_addresses: set[ServiceAddress] = field(default_factory=set)
+    index: ServiceIndex = field(default_factory=ServiceIndex)
+    fed_at: float = float('-inf')
+    is_stopping: bool = False
+    counters: Counter[tuple[str, str]] = field(default_factory=Counter)
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -73,3 +73,26 @@
     http_address: Address
     folder: str
     replicas: tuple[Replica, ...]
+
+
+class TokenBalancerOptions(msgspec.Struct, frozen=True):
+    """Settings of one balancer that forwards by tokens.
+
+    Attributes
+    ----------
+    data_address
+        Where the fabric sends packets, as ``"ip:port"``.
+    http_address
+        Where the fabric asks whether the balancer is ready.
+    control_addresses
+        Internal addresses of some control instances.
+    report_interval
+        Time between two reports of a backend server.
+    """
+
+    instance_id: Name
+    data_centre: Name
+    data_address: Address
+    http_address: Address
+    control_addresses: tuple[Address, ...]
+    report_interval: timedelta
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,145 @@
+"""Backend servers that announce themselves: order, restarts and reuse."""
+
+import msgspec
+import pytest
+
+from mustardhold.systems.directory import (
+    ended,
+    forget_servers,
+    is_ended,
+    rows_after,
+    take_report,
+    take_rows,
+    token_of,
+)
+from mustardhold.tables.constants import ENDED_SERVER_KEPT, SILENT_SERVER_KEPT
+from mustardhold.tables.directory import (
+    Directory,
+    ServerReport,
+    ServerState,
+)
+
+READY, DRAINING = ServerState.READY, ServerState.DRAINING
+
+
+def report(server_id='i-a1', incarnation=100, sequence=1, **changes):
+    base = ServerReport(
+        server_id,
+        incarnation,
+        sequence,
+        'feed',
+        '10.0.0.1:80',
+        'dc-1',
+        2,
+        READY,
+    )
+    return msgspec.structs.replace(base, **changes)
+
+
+def directory_of(*reports):
+    directory = Directory()
+    for now, one in enumerate(reports):
+        take_report(directory, float(now), one)
+    return directory
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'is_news'),
+    [
+        (report(sequence=1), report(sequence=2), True),
+        (report(sequence=2), report(sequence=1), False),
+        (report(sequence=2), report(sequence=2), False),
+        (report(incarnation=100), report(incarnation=101), True),
+        (report(sequence=9), report(incarnation=101, sequence=1), True),
+        (report(incarnation=101), report(sequence=9), False),
+        (ended(report()), report(sequence=9), False),
+        (ended(report()), report(incarnation=101), True),
+    ],
+)
+def test_reports_are_ordered_by_incarnation_then_sequence(
+    first, second, is_news
+):
+    directory = directory_of(first)
+    assert take_report(directory, 1.0, second) is is_news
+    newest = second if is_news else first
+    assert directory.servers_by_id['i-a1'].report == newest
+
+
+def test_draining_does_not_revert():
+    directory = directory_of(
+        report(sequence=1), report(sequence=3, state=DRAINING)
+    )
+    assert not take_report(directory, 2.0, report(sequence=2))
+    assert directory.servers_by_id['i-a1'].report.state is DRAINING
+
+
+def test_restart_under_the_same_id_ends_the_earlier_incarnation():
+    old, new = report(), report(incarnation=101)
+    directory = directory_of(old, new)
+    earlier = directory.servers_by_token[token_of(old)]
+    later = directory.servers_by_token[token_of(new)]
+    assert is_ended(directory, earlier)
+    assert not is_ended(directory, later)
+
+
+def test_newer_server_at_an_address_ends_the_earlier_one():
+    old = report()
+    new = report('i-b2', 200, service='orders')
+    directory = directory_of(old, new)
+    assert is_ended(directory, directory.servers_by_token[token_of(old)])
+
+
+def test_late_report_of_a_dead_server_does_not_return_to_its_address():
+    directory = directory_of(report('i-b2', 200), report(sequence=7))
+    assert 'i-a1' not in directory.servers_by_id
+    assert directory.servers_by_id['i-b2'].report.state is READY
+
+
+def test_only_changes_are_urgent():
+    directory = directory_of(report(sequence=1))
+    first = directory.urgent_revision
+    take_report(directory, 1.0, report(sequence=2))
+    assert directory.urgent_revision == first < directory.revision
+    take_report(directory, 2.0, report(sequence=3, state=DRAINING))
+    assert directory.urgent_revision == directory.revision
+
+
+def test_rows_bring_another_directory_level_with_their_age():
+    source = directory_of(report(), report('i-b2', address='10.0.0.2:80'))
+    rows = rows_after(source, 11.0, 1)
+    assert [row.report.server_id for row in rows] == ['i-b2']
+    target = Directory()
+    assert [one.server_id for one in take_rows(target, 50.0, rows)] == ['i-b2']
+    assert target.servers_by_id['i-b2'].heard_at == pytest.approx(40.0)
+
+
+def test_rows_of_two_sources_merge_alike_in_any_order():
+    one = rows_after(directory_of(report(sequence=4, state=DRAINING)), 1.0, 0)
+    two = rows_after(directory_of(report(sequence=3)), 1.0, 0)
+    merged = []
+    for rows in ((*one, *two), (*two, *one)):
+        target = Directory()
+        list(take_rows(target, 5.0, rows))
+        merged.append(target.servers_by_id['i-a1'].report)
+    assert merged[0] == merged[1] == one[0].report
+
+
+def test_shared_token_belongs_to_the_older_incarnation_everywhere(monkeypatch):
+    monkeypatch.setattr('mustardhold.systems.directory.token_of', lambda _: 7)
+    one = report('i-a1', 100)
+    two = report('i-b2', 90, address='10.0.0.2:80')
+    holders = [
+        directory_of(*order).servers_by_token[7].report.server_id
+        for order in ((one, two), (two, one))
+    ]
+    assert holders == ['i-b2', 'i-b2']
+
+
+def test_ended_and_silent_servers_are_forgotten_in_time():
+    directory = directory_of(report(), ended(report('i-b2', address='x')))
+    forget_servers(directory, ENDED_SERVER_KEPT.total_seconds() + 2)
+    assert set(directory.servers_by_id) == {'i-a1'}
+    forget_servers(directory, SILENT_SERVER_KEPT.total_seconds() + 2)
+    assert not directory.servers_by_id
+    assert not directory.servers_by_token
+    assert not directory.ids_by_address
--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,262 @@
+"""The platform's formats: what is read, and what is refused with its place."""
+
+import json
+import struct
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from mustardhold.platform.configurations import read_body, read_configuration
+from mustardhold.platform.packets import (
+    HEAD,
+    make_packet_codec,
+    read_packet,
+    server_number,
+)
+from mustardhold.platform.reports import read_leave, read_report
+from mustardhold.tables.configurations import ServiceAddress
+from mustardhold.tables.directory import KnownServer, ServerState
+from mustardhold.tables.outcomes import Err, Ok
+
+SYN_BYTES = bytes.fromhex(
+    'a1b2c3d50000000011223344000000002000000001bb9c41c612000164400007'
+)
+CODEC = make_packet_codec('10.1.0.10:8172')
+FUZZ_RUNS = 300
+
+
+def route(**changes):
+    base = {
+        'name': 'r-1',
+        'host': '198.18.0.1',
+        'path_prefix': '/8080/',
+        'kind': 'unsafe',
+        'timeout_ms': 2500,
+        'target_latency_ms': 250,
+        'priority': 1,
+        'service': 'orders',
+        'max_attempts': 2,
+    }
+    merged = {**base, **changes}
+    return {key: value for key, value in merged.items() if value is not None}
+
+
+def body(*routes, **changes):
+    services = [
+        {'name': name, 'health_path': '/health', 'max_flows': 2000}
+        for name in ('orders', 'photos')
+    ]
+    base = {
+        'version': 7,
+        'routes': list(routes),
+        'services': services,
+        'limits': {'idle_timeout_ms': 15000},
+    }
+    return json.dumps({**base, **changes}).encode()
+
+
+def report(**changes):
+    base = {
+        'service': 'orders',
+        'address': '10.128.0.9:8080',
+        'zone': 'bac-bo-a',
+        'version': 'v1',
+        'slots': 3,
+        'state': 'ready',
+        'cold_remaining_ms': 40,
+        'sequence': 4,
+        'born': 1_700_000_000_000,
+    }
+    merged = {**base, **changes}
+    return json.dumps(
+        {key: value for key, value in merged.items() if value is not None}
+    ).encode()
+
+
+def test_opening_is_read():
+    packet = read_packet(SYN_BYTES)
+    assert packet is not None
+    assert packet.is_opening
+    assert packet.caller == ServiceAddress(0x64400007, 40001)
+    assert packet.service_address == ServiceAddress(0xC6120001, 443)
+    assert (packet.token, packet.attempt) == (0, 0)
+
+
+def test_reset_is_written_as_the_callers_expect():
+    packet = read_packet(SYN_BYTES)
+    reset = CODEC.reset(packet._replace(acknowledged=0))
+    assert reset.address == ('100.64.0.7', 8172)
+    assert reset.payload == bytes.fromhex(
+        '00000000000000000000000000000000080000009c4101bb64400007c6120001'
+    )
+
+
+def test_forwarded_packet_differs_only_in_the_token():
+    raw = SYN_BYTES[:16] + b'\x40\x00\x00\x03' + SYN_BYTES[20:] + b'abc'
+    parsed = read_report('i-7f3a91c2', report()).value
+    known = KnownServer(parsed, 0, 1, 1, 0xDEADBEEF, 0)
+    sent = CODEC.forward(raw, known)
+    assert sent.address == ('10.128.0.9', 8080)
+    assert sent.payload[:8] == struct.pack('!Q', 0x7F3A91C2)
+    assert sent.payload[12:16] == b'\xde\xad\xbe\xef'
+    assert sent.payload[8:12] + sent.payload[16:] == raw[:4] + raw[8:]
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'',
+        SYN_BYTES[:31],
+        SYN_BYTES + b'x',
+        SYN_BYTES[:16] + b'\x60' + SYN_BYTES[17:],
+        SYN_BYTES[:16] + b'\xa0' + SYN_BYTES[17:],
+        SYN_BYTES[:16] + b'\x41' + SYN_BYTES[17:],
+        SYN_BYTES[:18] + b'\x04\xb1' + SYN_BYTES[20:] + bytes(1201),
+    ],
+    ids=[
+        'empty',
+        'short',
+        'too-long-for-its-length',
+        'foreign-syn-ack',
+        'bounced',
+        'unknown-flag',
+        'over-1200-bytes',
+    ],
+)
+def test_malformed_packet_is_refused(raw):
+    assert read_packet(raw) is None
+
+
+@seed(1)
+@settings(max_examples=FUZZ_RUNS, deadline=None, database=None)
+@given(st.binary(max_size=1300))
+def test_any_bytes_are_read_or_refused(raw):
+    packet = read_packet(raw)
+    if packet is not None:
+        assert HEAD.size + HEAD.unpack_from(raw)[6] == len(raw)
+        CODEC.reset(packet)
+
+
+def test_configuration_keeps_the_bytes_that_were_sent():
+    raw = body(route())
+    read = read_body(raw)
+    assert isinstance(read, Ok)
+    assert (read.value.version, read.value.document) == (7, raw)
+    held = read_configuration(read.value).value
+    address = ServiceAddress(0xC6120001, 8080)
+    assert held.routes_by_address[address].targets == (('orders', 1),)
+    assert held.idle_seconds == 15
+
+
+@pytest.mark.parametrize(
+    ('raw', 'place'),
+    [
+        (body(route())[:-9], ''),
+        (body(route(service='nobody')), 'routes[0]'),
+        (body(route(timeout_ms=0)), 'routes[0].timeout_ms'),
+        (body(route(), route(name='r-2')), 'routes'),
+        (body(route(), route(host='198.18.0.2')), 'routes'),
+        (body(route(host='nonsense')), 'routes[0]'),
+        (body(route(path_prefix='/70000/')), 'routes[0]'),
+        (body(route(service=None)), 'routes[0]'),
+        (
+            body(
+                route(service=None, split=[{'service': 'orders', 'weight': 0}])
+            ),
+            'routes[0].split',
+        ),
+        (
+            body(route(service=None, split=[{'service': 'none', 'weight': 1}])),
+            'routes[0]',
+        ),
+        (body(route(kind='odd')), 'routes[0].kind'),
+        (body(route(), version='7'), 'version'),
+        (b'{"version":1,"version":2,"routes":[],"services":[]}', 'version'),
+        (b'[' * 100_000, ''),
+        (b'\xff', ''),
+    ],
+)
+def test_invalid_configuration_is_refused_with_its_place(raw, place):
+    read = read_body(raw)
+    assert isinstance(read, Err)
+    assert place in {finding.place for finding in read.error}
+
+
+def test_all_findings_of_a_configuration_come_together():
+    read = read_body(body(route(host='x'), route(name='r-2', service='nobody')))
+    assert {finding.place for finding in read.error} == {
+        'routes[0]',
+        'routes[1]',
+    }
+
+
+def test_report_is_read():
+    read = read_report('i-7f3a91c2', report(state='draining'))
+    assert isinstance(read, Ok)
+    assert read.value.incarnation == 1_700_000_000_000
+    assert read.value.state is ServerState.DRAINING
+    assert read.value.slow_for_ms == 40
+
+
+@pytest.mark.parametrize(
+    ('server_id', 'raw'),
+    [
+        ('i-7f', report(service=None)),
+        ('i-7f', report(service=7)),
+        ('i-7f', report(state='dancing')),
+        ('i-7f', report(sequence=-1)),
+        ('i-7f', report(sequence=None)),
+        ('i-7f', report(slots=0)),
+        ('i-7f', report(address='nowhere')),
+        ('i-7f', report(born='yesterday')),
+        ('i-7f', b'\x00\xff'),
+        ('i-7f', b'[]'),
+        ('i-xyz', report()),
+        ('', report()),
+        ('i-0', report()),
+        ('i-' + 'f' * 17, report()),
+    ],
+)
+def test_malformed_report_names_no_server(server_id, raw):
+    assert isinstance(read_report(server_id, raw), Err)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'incarnation'), [(b'', 0), (b'{}', 0), (b'{"born":5}', 5)]
+)
+def test_leave_may_be_empty(raw, incarnation):
+    assert read_leave(raw) == Ok(incarnation)
+
+
+@seed(2)
+@settings(max_examples=FUZZ_RUNS, deadline=None, database=None)
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    ),
+    st.sampled_from(
+        ['version', 'routes', 'services', 'limits', 'state', 'address', 'born']
+    ),
+)
+def test_any_value_in_any_field_is_read_or_refused(value, name):
+    sent = json.loads(body(route()))
+    read_body(json.dumps({**sent, name: value}).encode())
+    said = json.loads(report())
+    raw = json.dumps({**said, name: value}).encode()
+    assert isinstance(read_report('i-7f', raw), Ok | Err)
+    assert isinstance(read_leave(raw), Ok | Err)
+
+
+@seed(3)
+@settings(max_examples=FUZZ_RUNS, deadline=None, database=None)
+@given(st.binary(max_size=200), st.text(max_size=30))
+def test_any_bytes_are_no_surprise(raw, server_id):
+    assert isinstance(read_body(raw), Err)
+    assert isinstance(read_report(server_id, raw), Ok | Err)
+    assert isinstance(read_leave(raw), Ok | Err)
+
+
+def test_server_number_is_the_hex_part():
+    assert server_number('i-7f3a91c2') == 0x7F3A91C2
--- /dev/null
+++ b/tests/test_token_forwarding.py
@@ -0,0 +1,244 @@
+"""Packets by their flow's token, with no state for a flow."""
+
+from collections import Counter
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from mustardhold.systems.directory import ended, take_report, token_of
+from mustardhold.systems.token_forwarding import (
+    decide,
+    install_configuration,
+    is_ready,
+    servers_of,
+)
+from mustardhold.tables.configurations import (
+    Configuration,
+    RequestKind,
+    ServiceAddress,
+    ServiceRoute,
+    WeightedService,
+)
+from mustardhold.tables.directory import ServerReport, ServerState
+from mustardhold.tables.forwarding import (
+    CallerPacket,
+    Drop,
+    DropCause,
+    Forward,
+    ForwardingTables,
+    Reset,
+)
+
+FEED, ORDERS, NOWHERE = (ServiceAddress(1, port) for port in (443, 8080, 9))
+NOW = 10.0
+
+
+def server(number, service='feed', state=ServerState.READY, **changes):
+    base = ServerReport(
+        f'i-{number:x}',
+        100,
+        1,
+        service,
+        f'10.0.0.{number}:80',
+        'dc-1',
+        2,
+        state,
+    )
+    return msgspec.structs.replace(base, **changes)
+
+
+def configuration(version=1, addresses=(FEED, ORDERS), targets=None):
+    services = {FEED: 'feed', ORDERS: 'orders'}
+    routes = {
+        address: ServiceRoute(
+            services[address],
+            address,
+            RequestKind.SAFE,
+            targets or (WeightedService(services[address], 1),),
+        )
+        for address in addresses
+    }
+    return Configuration(version, routes, {}, 15.0)
+
+
+def tables_of(*servers):
+    tables = ForwardingTables(timedelta(seconds=1), fed_at=NOW)
+    install_configuration(tables, configuration())
+    for one in servers:
+        take_report(tables.directory, NOW, one)
+    return tables
+
+
+def opening(port=1000, address=FEED, attempt=0):
+    return CallerPacket(
+        ServiceAddress(2, port), address, 0, attempt, attempt, True, False
+    )
+
+
+def later(token, address=FEED, *, is_reset=False):
+    return CallerPacket(
+        ServiceAddress(2, 1000), address, token, 77, 0, False, is_reset
+    )
+
+
+def chosen(tables, packet):
+    decision = decide(tables, NOW, packet)
+    assert isinstance(decision, Forward)
+    return [known.report.server_id for known in decision.servers]
+
+
+def test_all_balancers_choose_alike_whatever_they_heard_first():
+    servers = [server(number) for number in range(1, 8)]
+    one, two = tables_of(*servers), tables_of(*reversed(servers))
+    for port in range(200):
+        assert chosen(one, opening(port)) == chosen(two, opening(port))
+
+
+def test_opening_goes_to_two_servers_and_its_copies_to_the_next():
+    tables = tables_of(*(server(number) for number in range(1, 8)))
+    tries = [chosen(tables, opening(attempt=attempt)) for attempt in range(3)]
+    assert [len(set(one)) for one in tries] == [2, 2, 2]
+    assert len({name for one in tries for name in one}) == 6
+
+
+def test_lone_server_gets_one_copy():
+    assert chosen(tables_of(server(1)), opening(attempt=2)) == ['i-1']
+
+
+def test_later_packets_follow_the_token():
+    one = server(1)
+    tables = tables_of(one, server(2))
+    decision = decide(tables, NOW, later(token_of(one)))
+    assert isinstance(decision, Forward)
+    assert [known.report for known in decision.servers] == [one]
+
+
+@pytest.mark.parametrize(
+    'state', [ServerState.DRAINING, ServerState.ENDED], ids=str
+)
+def test_server_that_leaves_gets_no_new_flow(state):
+    tables = tables_of(server(1), server(2, state=state))
+    for port in range(50):
+        assert chosen(tables, opening(port)) == ['i-1']
+
+
+def test_draining_server_keeps_its_flows():
+    one = server(1, state=ServerState.DRAINING)
+    tables = tables_of(one)
+    assert isinstance(decide(tables, NOW, later(token_of(one))), Forward)
+
+
+@pytest.mark.parametrize(
+    'successor',
+    [
+        server(1, incarnation=101),
+        server(2, 'orders', incarnation=200, address='10.0.0.1:80'),
+        ended(server(1)),
+    ],
+    ids=['restarted', 'address-reused', 'left'],
+)
+def test_flow_of_a_server_that_certainly_ended_is_reset(successor):
+    tables = tables_of(server(1), successor)
+    token = token_of(server(1))
+    assert decide(tables, NOW, later(token)) == Reset(DropCause.FLOW_ENDED)
+    # A reset never answers a reset.
+    gone = decide(tables, NOW, later(token, is_reset=True))
+    assert gone == Drop(DropCause.FLOW_ENDED)
+
+
+def test_flow_of_a_silent_server_is_not_reset():
+    tables = tables_of(server(1), server(2))
+    tables.fed_at = NOW + 60
+    decision = decide(tables, NOW + 60, later(token_of(server(1))))
+    assert isinstance(decision, Forward)
+
+
+def test_silent_server_gets_new_flows_only_where_no_other_can():
+    tables = tables_of(server(1))
+    take_report(tables.directory, NOW + 5, server(2))
+    tables.fed_at = NOW + 5
+    decision = decide(tables, NOW + 5, opening())
+    assert isinstance(decision, Forward)
+    names = [known.report.server_id for known in decision.servers]
+    assert names == ['i-2']
+    alone = tables_of(server(1))
+    alone.fed_at = NOW + 5
+    assert isinstance(decide(alone, NOW + 5, opening()), Forward)
+
+
+def test_without_control_no_server_counts_as_silent():
+    tables = tables_of(server(1), server(2))
+    decision = decide(tables, NOW + 60, opening())
+    assert isinstance(decision, Forward)
+    assert len(decision.servers) == 2
+
+
+@pytest.mark.parametrize(
+    ('token', 'cause'),
+    [(0, DropCause.NO_TOKEN), (123, DropCause.UNKNOWN_TOKEN)],
+)
+def test_packet_without_a_known_server_is_dropped(token, cause):
+    assert decide(tables_of(server(1)), NOW, later(token)) == Drop(cause)
+
+
+def test_opening_to_no_route_is_reset_only_by_a_balancer_that_is_fed():
+    tables = tables_of(server(1))
+    refused = opening(address=NOWHERE)
+    assert decide(tables, NOW, refused) == Reset(DropCause.NO_ROUTE)
+    assert decide(tables, NOW + 60, refused) == Drop(DropCause.NO_ROUTE)
+
+
+def test_open_flow_ends_only_with_its_route():
+    one = server(1)
+    tables = tables_of(one)
+    token = token_of(one)
+    # The route now leads elsewhere; the open flow stays.
+    moved = (WeightedService('orders', 1),)
+    install_configuration(tables, configuration(2, targets=moved))
+    assert isinstance(decide(tables, NOW, later(token)), Forward)
+    install_configuration(tables, configuration(3, (ORDERS,)))
+    assert decide(tables, NOW, later(token)) == Reset(DropCause.NO_ROUTE)
+    never = later(token, NOWHERE)
+    assert decide(tables, NOW, never) == Drop(DropCause.NO_ROUTE)
+
+
+def test_older_configuration_changes_nothing():
+    tables = tables_of(server(1))
+    assert install_configuration(tables, configuration(5))
+    assert not install_configuration(tables, configuration(5, (FEED,)))
+    assert not install_configuration(tables, configuration(4, (FEED,)))
+    assert tables.configuration == configuration(5)
+
+
+def test_split_follows_its_weights():
+    tables = tables_of(server(1), server(2, 'orders'))
+    targets = (WeightedService('feed', 90), WeightedService('orders', 10))
+    install_configuration(tables, configuration(2, targets=targets))
+    counts = Counter(
+        chosen(tables, opening(port))[0] for port in range(1000, 5000)
+    )
+    assert counts['i-2'] / 4000 == pytest.approx(0.1, abs=0.02)
+
+
+def test_route_without_servers_stays_silent():
+    tables = tables_of(server(1))
+    answer = decide(tables, NOW, opening(address=ORDERS))
+    assert answer == Drop(DropCause.NO_SERVER)
+
+
+def test_ready_needs_a_configuration_and_servers():
+    tables = ForwardingTables(timedelta(seconds=1))
+    assert not is_ready(tables)
+    install_configuration(tables, configuration())
+    assert not is_ready(tables)
+    take_report(tables.directory, NOW, server(1))
+    assert is_ready(tables)
+    tables.is_stopping = True
+    assert not is_ready(tables)
+
+
+def test_index_holds_each_ready_server_once():
+    tables = tables_of(server(1), server(2), server(1, sequence=2))
+    names = [one.report.server_id for one in servers_of(tables, 'feed')]
+    assert sorted(names) == ['i-1', 'i-2']
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -14,6 +14,7 @@
 )
 from mustardhold.systems import consensus
 from mustardhold.tables.consensus import (
+    AppliedEdit,
     Effects,
     NotLeader,
     Pending,
@@ -238,7 +239,8 @@
         term, answer = node.answers_by_index.pop(
             applied.index, (0, lambda _: None)
         )
-        answer(applied.outcome if term == applied.term else Unknown())
+        if isinstance(applied, AppliedEdit):
+            answer(applied.outcome if term == applied.term else Unknown())
     if effects.applied or effects.snapshot is not None:
         note_table(group, node.replica.edits.table)
 
--- a/tools/measurements/control.py
+++ b/tools/measurements/control.py
@@ -13,6 +13,7 @@
 import trio
 
 from mustardhold.adapters.clock import SystemClock
+from mustardhold.adapters.http_client import HttpClient
 from mustardhold.daemons.table_feed import (
     TableFeed,
     follow_tables,
@@ -75,7 +76,7 @@
 
     feed: TableFeed
     in_force_at: dict[int, float] = field(default_factory=dict)
-    moved_bytes: int = 0
+    client: HttpClient = field(default_factory=HttpClient)
 
 
 @dataclass(slots=True)
@@ -97,11 +98,6 @@
     edit_links: int = 0
 
 
-def header_bytes(headers: httpx.Headers) -> int:
-    """Count the bytes of headers on the wire."""
-    return sum(len(name) + len(value) + 4 for name, value in headers.raw) + 2
-
-
 def make_follower(running: ControlFleet, number: int) -> Follower:
     """Make the feed of a balancer that needs no sockets."""
     name = f'b{number}'
@@ -121,21 +117,9 @@
 
 async def follow(follower: Follower) -> None:
     """Follow the tables as a balancer does, and count the bytes."""
-
-    async def count(reply: httpx.Response) -> None:
-        await reply.aread()
-        line = len(str(reply.request.url)) + len('GET  HTTP/1.1\r\n')
-        follower.moved_bytes += line + header_bytes(reply.request.headers)
-        follower.moved_bytes += header_bytes(reply.headers)
-        follower.moved_bytes += len(reply.content)
-
-    hooks = {'response': [count]}
-    async with (
-        httpx.AsyncClient(event_hooks=hooks, verify=False) as client,
-        trio.open_nursery() as nursery,
-    ):
+    async with trio.open_nursery() as nursery:
         nursery.start_soon(note_versions, follower)
-        nursery.start_soon(follow_tables, client, follower.feed)
+        nursery.start_soon(follow_tables, follower.client, follower.feed)
 
 
 async def note_versions(follower: Follower) -> None:
@@ -162,7 +146,10 @@
 
 def moved_bytes(fleet: Fleet) -> int:
     """Count the bytes of all followers."""
-    return sum(one.moved_bytes for one in fleet.followers)
+    return sum(
+        one.client.sent_bytes + one.client.received_bytes
+        for one in fleet.followers
+    )
 
 
 async def run_fleet(fleet: Fleet) -> None:
