--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -289,7 +289,7 @@
         record = read_record(raw, start)
     # What follows a torn note could not be read, and a new file is durable
     # only with its folder: in both cases the next note replaces the file.
-    is_whole = start == len(raw) > 0
+    is_whole = start > 0 and start == len(raw)
     store.commit_size = start if is_whole else MAX_COMMIT_BYTES
     return index
 
