Report a contradicted commit as a broken promise, not as a crash

Change: the exception has a type of its own; the harness ends such a process, as the daemon does, and counts the message as a violation, for the true version as well. As strict as before: a contradiction still fails the true version, and the naive one is still broken.

--- a/src/mustardhold/systems/replica_log.py
+++ b/src/mustardhold/systems/replica_log.py
@@ -65,16 +65,20 @@
             replica.members_index = entry.index
 
 
+class CommitContradictedError(ValueError):
+    """A leader's log lacks an entry that was committed here."""
+
+
 def drop_entries_after(replica: Replica, index: int, effects: Effects) -> None:
     """Drop the entries above an index, which were never committed.
 
     Raises
     ------
-    ValueError
+    CommitContradictedError
         If a committed entry would be dropped.
     """
     if index < replica.commit_index:
-        raise ValueError(f'entry {index + 1} is committed')
+        raise CommitContradictedError(f'entry {index + 1} is committed')
     del replica.log[index + 1 - replica.log[0].index :]
     effects.kept_index = index
     find_members(replica)
--- a/tools/fakes/control_runs.py
+++ b/tools/fakes/control_runs.py
@@ -203,8 +203,13 @@
         )
         for version in run.group.torn_versions
     ]
+    contradicted = [
+        Violation('an accepted edit never reverts', message)
+        for message in run.group.contradicted
+    ]
     return [
         *torn,
+        *contradicted,
         *find_lost(run.users, final_tables(run)),
         *find_races(run.users),
         *find_changed_answers(run.users),
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -15,6 +15,7 @@
     save_effects,
 )
 from mustardhold.systems import consensus
+from mustardhold.systems.replica_log import CommitContradictedError
 from mustardhold.tables.consensus import (
     AppliedEdit,
     Effects,
@@ -86,6 +87,8 @@
         Whether edit ids are left as they are.
     tables_by_version, torn_versions
         First table shown at a version; versions shown with two contents.
+    contradicted
+        What replicas said that had to drop a committed entry.
     """
 
     queue: EventQueue
@@ -95,6 +98,7 @@
     is_deduplicating: bool = True
     tables_by_version: dict[int, RoutingTable] = field(default_factory=dict)
     torn_versions: list[int] = field(default_factory=list)
+    contradicted: list[str] = field(default_factory=list)
     renamed: int = 0
 
 
@@ -212,9 +216,17 @@
         return
     try:
         action()
+    except CommitContradictedError as error:
+        group.contradicted.append(f'{name}: {error}')
+        end_for_a_while(group, name)
     except (CrashError, OSError):
-        kill(group, name)
-        restart_later(group, name, group.queue.rng.uniform(0.2, 3))
+        end_for_a_while(group, name)
+
+
+def end_for_a_while(group: Group, name: str) -> None:
+    """End a process that cannot go on, and start it again later."""
+    kill(group, name)
+    restart_later(group, name, group.queue.rng.uniform(0.2, 3))
 
 
 def tick(group: Group, name: str) -> None:
