Log each decision and belief, bounded and never blocking; serve metrics

Cause: on-call engineers have only logs and metrics, and the balancer that forwards by tokens told neither why a flow went where it went.

Change: JSON lines on standard output, at most 20 a second and message with a burst of 100; what is left out is counted and told in the next line. A pipe that takes no more loses lines, counted, and never makes a packet wait. One line for each opening passed on, flow reset and packet dropped, with the flow, the version in force and the age of what control told. Counters and histograms (openings, configurations, leaving servers, by service and class) at port 9464; the renderer is loaded by the first scrape, in a thread. Configurations moved to a module of their own.

--- a/src/mustardhold/adapters/metrics.py
+++ b/src/mustardhold/adapters/metrics.py
@@ -14,8 +14,7 @@
 
 from mustardhold.adapters.http_app import Reply
 from mustardhold.tables.gauges import Gauge
-from mustardhold.tables.histograms import Histogram
-from mustardhold.tables.observations import HistogramKey
+from mustardhold.tables.histograms import Histogram, HistogramKey
 
 PREFIX = 'mustardhold'
 SUMMARY_BY_HISTOGRAM = {
@@ -23,6 +22,8 @@
     'request_seconds': 'Time from forwarding a request to its first answer',
     'open_seconds': 'Time from sending an opening to its answer',
     'batch_packets': 'Packets taken between two checkpoints',
+    'configuration_seconds': 'Time from taking a configuration to its answer',
+    'report_seconds': 'Time from taking a leaving server to its answer',
     'relay_hops': 'Relays that a packet has been through',
 }
 
--- a/src/mustardhold/daemons/balancer.py
+++ b/src/mustardhold/daemons/balancer.py
@@ -16,11 +16,8 @@
 from mustardhold.daemons.sending import send_all
 from mustardhold.daemons.stopping import leave_on_signal
 from mustardhold.daemons.table_feed import follow_tables, make_feed
-from mustardhold.systems.observing import (
-    BATCH_PACKETS,
-    expire_timers,
-    observe,
-)
+from mustardhold.systems.histograms import BATCH_PACKETS, observe
+from mustardhold.systems.observing import expire_timers
 from mustardhold.systems.peers import tick
 from mustardhold.tables.constants import TICK
 from mustardhold.tables.options import BalancerOptions
@@ -61,7 +58,9 @@
 def start_loops(balancer: Balancer, nursery: trio.Nursery) -> None:
     """Start what reads the sockets and what time drives."""
     note_batch = functools.partial(
-        observe, balancer.observations, (BATCH_PACKETS, '', '')
+        observe,
+        balancer.observations.histograms_by_key,
+        (BATCH_PACKETS, '', ''),
     )
     nursery.start_soon(
         run_packet_loop,
--- /dev/null
+++ b/src/mustardhold/daemons/configuration_pages.py
@@ -0,0 +1,137 @@
+"""Configurations of whole versions: committed and read through the leader."""
+
+import msgspec
+import trio
+
+from mustardhold.adapters.http_app import Ask, Reply, json_reply
+from mustardhold.adapters.http_client import HttpRequest, send_request
+from mustardhold.daemons.edit_statuses import status_for
+from mustardhold.daemons.replica_node import (
+    AnyOutcome,
+    ReplicaNode,
+    WaitingEdit,
+    ending_on_fault,
+    follow_effects,
+)
+from mustardhold.systems import consensus
+from mustardhold.systems.histograms import CONFIGURATION_SECONDS, observe
+from mustardhold.tables.configurations import VersionedDocument
+from mustardhold.tables.consensus import NotLeader, Pending, ReplicaMember
+from mustardhold.tables.constants import CONFIGURATION_TIMEOUT
+from mustardhold.tables.outcomes import Err
+from mustardhold.tables.routing import EditOutcome, NoQuorum, Unknown
+
+CONFIGURATION_PAGE = '/configuration'
+
+_outcome_decoder = msgspec.json.Decoder(EditOutcome)
+_document_decoder = msgspec.json.Decoder(VersionedDocument)
+
+
+async def replace_configuration(
+    node: ReplicaNode, document: VersionedDocument
+) -> AnyOutcome:
+    """Commit a configuration, here or through the leader."""
+    began = node.clock.monotonic()
+    proposed, waiting = propose(node, document)
+    if isinstance(proposed, NotLeader):
+        outcome = await forward(node, proposed.leader, document)
+    else:
+        outcome = await wait_outcome(node, proposed, waiting)
+    key = (CONFIGURATION_SECONDS, '', type(outcome).__name__.lower())
+    seconds = node.clock.monotonic() - began
+    observe(node.observations.histograms_by_key, key, seconds)
+    return outcome
+
+
+async def wait_outcome(
+    node: ReplicaNode,
+    proposed: consensus.ProposedConfiguration,
+    waiting: WaitingEdit,
+) -> AnyOutcome:
+    """Wait until a proposed configuration is committed, for a while."""
+    if isinstance(proposed, NotLeader):
+        return NoQuorum(None)
+    if not isinstance(proposed, Pending):
+        return proposed
+    with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
+        await waiting.done.wait()
+    node.waiting_by_index.pop(proposed.index, None)
+    return waiting.outcome
+
+
+def propose(
+    node: ReplicaNode, document: VersionedDocument
+) -> tuple[consensus.ProposedConfiguration, WaitingEdit]:
+    """Give a configuration to the replica, and wait for its commit."""
+    with ending_on_fault(node):
+        proposed, effects = consensus.propose_configuration(
+            node.replica, node.clock.monotonic(), document
+        )
+        waiting = WaitingEdit(0)
+        if isinstance(proposed, Pending):
+            waiting.term = proposed.term
+            node.waiting_by_index[proposed.index] = waiting
+        follow_effects(node, effects)
+    return proposed, waiting
+
+
+async def forward(
+    node: ReplicaNode,
+    leader: ReplicaMember | None,
+    document: VersionedDocument,
+) -> AnyOutcome:
+    """Hand a configuration to the leader."""
+    if leader is None:
+        return NoQuorum(None)
+    request = HttpRequest(
+        'POST',
+        leader.http_address,
+        CONFIGURATION_PAGE,
+        msgspec.json.encode(document),
+    )
+    sent = await send_request(
+        node.client, request, CONFIGURATION_TIMEOUT.total_seconds()
+    )
+    if isinstance(sent, Err):
+        is_unsent = sent.error.is_unsent
+        return NoQuorum(leader.instance_id) if is_unsent else Unknown()
+    try:
+        return _outcome_decoder.decode(sent.value.body)
+    except msgspec.DecodeError:
+        return Unknown()
+
+
+async def take_forwarded(node: ReplicaNode, ask: Ask) -> Reply:
+    """Handle a configuration that another control instance hands over."""
+    proposed, waiting = propose(node, _document_decoder.decode(ask.body))
+    outcome = await wait_outcome(node, proposed, waiting)
+    return json_reply(outcome, status_for(outcome))
+
+
+async def read_configuration(
+    node: ReplicaNode,
+) -> VersionedDocument | None:
+    """Read the configuration where it is certainly the newest one."""
+    held = consensus.read_configuration(node.replica, node.clock.monotonic())
+    if isinstance(held, VersionedDocument):
+        return held
+    if held.leader is None:
+        return None
+    request = HttpRequest('GET', held.leader.http_address, CONFIGURATION_PAGE)
+    asked = await send_request(
+        node.client, request, CONFIGURATION_TIMEOUT.total_seconds()
+    )
+    if isinstance(asked, Err) or not asked.value.is_success:
+        return None
+    try:
+        return _document_decoder.decode(asked.value.body)
+    except msgspec.DecodeError:
+        return None
+
+
+async def show_configuration(node: ReplicaNode, _: Ask) -> Reply:
+    """Handle a read that another control instance hands over."""
+    held = consensus.read_configuration(node.replica, node.clock.monotonic())
+    if isinstance(held, VersionedDocument):
+        return json_reply(held)
+    return json_reply(NoQuorum(None), status_for(NoQuorum(None)))
--- a/src/mustardhold/daemons/control_edits.py
+++ b/src/mustardhold/daemons/control_edits.py
@@ -29,7 +29,7 @@
     follow_effects,
 )
 from mustardhold.systems import consensus
-from mustardhold.systems.observing import observe
+from mustardhold.systems.histograms import EDIT_SECONDS, observe
 from mustardhold.systems.replica_membership import replace_replica
 from mustardhold.tables.consensus import (
     Effects,
@@ -50,7 +50,6 @@
 )
 
 MARGIN_SECONDS = 1
-EDIT_SECONDS = 'edit_seconds'
 FORWARDED: Mapping[str, str] = {'forwarded': '1'}
 
 
@@ -105,7 +104,9 @@
     """Count the outcome of an edit that this leader took, and its time."""
     name = type(outcome).__name__.lower()
     node.replica.counters['edit', name] += 1
-    observe(node.observations, (EDIT_SECONDS, '', name), seconds)
+    observe(
+        node.observations.histograms_by_key, (EDIT_SECONDS, '', name), seconds
+    )
 
 
 async def forward_edit(
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -9,22 +9,21 @@
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
-import msgspec
 import trio
 
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.http_app import (
-    Ask,
     HandlersByPath,
-    Reply,
-    json_reply,
     make_app,
 )
-from mustardhold.adapters.http_client import HttpRequest, send_request
 from mustardhold.adapters.http_server import serve_http
-from mustardhold.daemons.edit_statuses import status_for
+from mustardhold.daemons.configuration_pages import (
+    CONFIGURATION_PAGE,
+    show_configuration,
+    take_forwarded,
+)
 from mustardhold.daemons.faults import note_fault
 from mustardhold.daemons.feed_pages import (
     Feed,
@@ -33,30 +32,25 @@
     wake_feed,
 )
 from mustardhold.daemons.feed_watch import FEED_PAGE, FeedWatch, run_watch
+from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.replica_links import REPLICA_PAGE, Links
 from mustardhold.daemons.replica_node import (
-    AnyOutcome,
     ReplicaNode,
-    WaitingEdit,
     close_node,
-    ending_on_fault,
-    follow_effects,
     make_node,
     run_replica,
 )
 from mustardhold.daemons.replica_pages import take_message
 from mustardhold.daemons.signals import stop_on_signal
 from mustardhold.systems import consensus
+from mustardhold.systems.control_gauges import control_gauges
 from mustardhold.systems.directory import forget_servers, take_report
 from mustardhold.systems.election import majority
-from mustardhold.tables.configurations import VersionedDocument
-from mustardhold.tables.consensus import (
-    NotLeader,
-    Pending,
-    ReplicaMember,
+from mustardhold.systems.histograms import (
+    REPORT_SECONDS,
+    observe,
 )
 from mustardhold.tables.constants import (
-    CONFIGURATION_TIMEOUT,
     LEAVE_TIMEOUT,
     MAX_REPLICA_BODY_BYTES,
     MAX_REPLICAS,
@@ -66,17 +60,12 @@
     ServerReport,
     ServerState,
 )
+from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import ControlOptions, GrowthPolicy
-from mustardhold.tables.outcomes import Err
-from mustardhold.tables.routing import EditOutcome, NoQuorum, Unknown
 
-CONFIGURATION_PAGE = '/configuration'
 FORGET_SECONDS = 5
 RUN_ID_BITS = 64
 
-_outcome_decoder = msgspec.json.Decoder(EditOutcome)
-_document_decoder = msgspec.json.Decoder(VersionedDocument)
-
 
 @dataclass(slots=True)
 class RegistryControl:
@@ -88,6 +77,13 @@
     watch: FeedWatch
 
 
+class ServedAddresses(NamedTuple):
+    """Where a control instance serves whom, besides its internal address."""
+
+    public: str
+    metrics: str
+
+
 Task = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -170,113 +166,13 @@
         if member.instance_id != control.node.replica.me.instance_id
     )
     needed = majority(control.node.replica) - 1
-    with trio.move_on_after(LEAVE_TIMEOUT.total_seconds()):
+    began = clock.monotonic()
+    with trio.move_on_after(LEAVE_TIMEOUT.total_seconds()) as scope:
         await wait_merged(control.feed, known.urgent_revision, others, needed)
-        return True
-    return False
-
-
-async def replace_configuration(
-    control: RegistryControl, document: VersionedDocument
-) -> AnyOutcome:
-    """Commit a configuration, here or through the leader."""
-    proposed, waiting = propose(control.node, document)
-    if isinstance(proposed, NotLeader):
-        return await forward(control, proposed.leader, document)
-    if not isinstance(proposed, Pending):
-        return proposed
-    with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
-        await waiting.done.wait()
-    control.node.waiting_by_index.pop(proposed.index, None)
-    return waiting.outcome
-
-
-def propose(
-    node: ReplicaNode, document: VersionedDocument
-) -> tuple[consensus.ProposedConfiguration, WaitingEdit]:
-    """Give a configuration to the replica, and wait for its commit."""
-    with ending_on_fault(node):
-        proposed, effects = consensus.propose_configuration(
-            node.replica, node.clock.monotonic(), document
-        )
-        waiting = WaitingEdit(0)
-        if isinstance(proposed, Pending):
-            waiting.term = proposed.term
-            node.waiting_by_index[proposed.index] = waiting
-        follow_effects(node, effects)
-    return proposed, waiting
-
-
-async def forward(
-    control: RegistryControl,
-    leader: ReplicaMember | None,
-    document: VersionedDocument,
-) -> AnyOutcome:
-    """Hand a configuration to the leader."""
-    if leader is None:
-        return NoQuorum(None)
-    request = HttpRequest(
-        'POST',
-        leader.http_address,
-        CONFIGURATION_PAGE,
-        msgspec.json.encode(document),
-    )
-    sent = await send_request(
-        control.node.client, request, CONFIGURATION_TIMEOUT.total_seconds()
-    )
-    if isinstance(sent, Err):
-        is_unsent = sent.error.is_unsent
-        return NoQuorum(leader.instance_id) if is_unsent else Unknown()
-    try:
-        return _outcome_decoder.decode(sent.value.body)
-    except msgspec.DecodeError:
-        return Unknown()
-
-
-async def take_forwarded(control: RegistryControl, ask: Ask) -> Reply:
-    """Handle a configuration that another control instance hands over."""
-    proposed, waiting = propose(
-        control.node, _document_decoder.decode(ask.body)
-    )
-    if isinstance(proposed, NotLeader):
-        return json_reply(NoQuorum(None), status_for(NoQuorum(None)))
-    if isinstance(proposed, Pending):
-        with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
-            await waiting.done.wait()
-        control.node.waiting_by_index.pop(proposed.index, None)
-        return json_reply(waiting.outcome, status_for(waiting.outcome))
-    return json_reply(proposed, status_for(proposed))
-
-
-async def read_configuration(
-    control: RegistryControl,
-) -> VersionedDocument | None:
-    """Read the configuration where it is certainly the newest one."""
-    node = control.node
-    held = consensus.read_configuration(node.replica, node.clock.monotonic())
-    if isinstance(held, VersionedDocument):
-        return held
-    if held.leader is None:
-        return None
-    request = HttpRequest('GET', held.leader.http_address, CONFIGURATION_PAGE)
-    asked = await send_request(
-        node.client, request, CONFIGURATION_TIMEOUT.total_seconds()
-    )
-    if isinstance(asked, Err) or not asked.value.is_success:
-        return None
-    try:
-        return _document_decoder.decode(asked.value.body)
-    except msgspec.DecodeError:
-        return None
-
-
-async def show_configuration(control: RegistryControl, _: Ask) -> Reply:
-    """Handle a read that another control instance hands over."""
-    node = control.node
-    held = consensus.read_configuration(node.replica, node.clock.monotonic())
-    if isinstance(held, VersionedDocument):
-        return json_reply(held)
-    return json_reply(NoQuorum(None), status_for(NoQuorum(None)))
+    key = (REPORT_SECONDS, report.service, report.state.value)
+    seconds = clock.monotonic() - began
+    observe(control.node.observations.histograms_by_key, key, seconds)
+    return not scope.cancelled_caught
 
 
 def make_internal_pages(control: RegistryControl) -> HandlersByPath:
@@ -285,14 +181,37 @@
         ('POST', REPLICA_PAGE): functools.partial(take_message, control.node),
         ('POST', FEED_PAGE): functools.partial(show_feed, control.feed),
         ('POST', CONFIGURATION_PAGE): functools.partial(
-            take_forwarded, control
+            take_forwarded, control.node
         ),
         ('GET', CONFIGURATION_PAGE): functools.partial(
-            show_configuration, control
+            show_configuration, control.node
         ),
     }
 
 
+def measure(control: RegistryControl) -> Measured:
+    """Collect what the instance has counted and measured."""
+    node = control.node
+    gauges = (
+        *control_gauges(node.replica, node.clock.monotonic()),
+        Gauge(
+            'configuration_version',
+            'Version in force',
+            node.replica.configuration.version,
+        ),
+        Gauge(
+            'known_servers',
+            'Servers in the directory',
+            len(control.directory.servers_by_id),
+        ),
+    )
+    return Measured(
+        dict(node.replica.counters),
+        node.observations.histograms_by_key,
+        gauges,
+    )
+
+
 async def forget_on(control: RegistryControl) -> None:
     """Forget servers that are long gone, from time to time."""
     while True:
@@ -303,7 +222,7 @@
 async def run_registry_control(
     control: RegistryControl,
     pages: HandlersByPath,
-    public_address: str,
+    addresses: ServedAddresses,
     watch_settings: Task,
 ) -> None:
     """Run a control instance until it is told to stop.
@@ -311,7 +230,7 @@
     Parameters
     ----------
     pages
-        What backend servers and operators see.
+        What backend servers and operators see, at the public address.
     watch_settings
         Takes changed settings over.
     """
@@ -341,7 +260,13 @@
                 serve_http, internal, node.options.http_address, node.stopping
             )
             serving.start_soon(
-                serve_http, public, public_address, node.stopping
+                serve_http, public, addresses.public, node.stopping
+            )
+            serving.start_soon(
+                serve_metrics,
+                addresses.metrics,
+                functools.partial(measure, control),
+                node.stopping,
             )
         node.log.info('control stopped')
         nursery.cancel_scope.cancel()
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -2,9 +2,10 @@
 
 import functools
 import logging
+import math
 import socket
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 import trio
@@ -14,9 +15,16 @@
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.faults import Faults, note_fault
 from mustardhold.daemons.feed_watch import FeedWatch, run_watch
+from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.signals import stop_on_signal
+from mustardhold.systems.addresses import address_text
 from mustardhold.systems.directory import forget_servers
+from mustardhold.systems.histograms import (
+    OPEN_SECONDS,
+    HistogramsByKey,
+    observe,
+)
 from mustardhold.systems.token_forwarding import (
     decide,
     install_configuration,
@@ -38,11 +46,13 @@
     ForwardingTables,
     Reset,
 )
+from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import TokenBalancerOptions
 from mustardhold.tables.outcomes import Err, Outcome
 from mustardhold.tables.routing import Finding
 
 FORGET_SECONDS = 5
+MILLISECONDS = 1000
 
 
 class Datagram(NamedTuple):
@@ -94,6 +104,7 @@
     sock: socket.socket
     watch: FeedWatch
     faults: Faults
+    histograms_by_key: HistogramsByKey = field(default_factory=dict)
 
 
 Task = Callable[[], Coroutine[Any, Any, None]]
@@ -184,6 +195,10 @@
     now = balancer.clock.monotonic()
     decision = decide(balancer.tables, now, packet)
     follow_decision(balancer, raw, packet, decision)
+    for opened in balancer.tables.opened:
+        key = (OPEN_SECONDS, opened.service, opened.kind)
+        observe(balancer.histograms_by_key, key, opened.seconds)
+    balancer.tables.opened.clear()
 
 
 def follow_decision(
@@ -192,18 +207,69 @@
     packet: CallerPacket,
     decision: Decision,
 ) -> None:
-    """Send what was decided, and count it."""
+    """Send what was decided, count it and log it."""
     counters = balancer.tables.counters
     match decision:
-        case Forward(servers):
+        case Forward(servers, service):
             for known in servers:
                 send(balancer, balancer.codecs.packets.forward(raw, known))
-            counters['', 'opened' if packet.is_opening else 'forwarded'] += 1
+            counters[
+                service, 'opened' if packet.is_opening else 'forwarded'
+            ] += 1
+            if packet.is_opening:
+                log_opening(balancer, packet, servers)
         case Reset(cause):
             send(balancer, balancer.codecs.packets.reset(packet))
             counters['reset', cause] += 1
+            log_end(balancer, 'flow reset', packet, cause)
         case Drop(cause):
             counters['drop', cause] += 1
+            log_end(balancer, 'packet dropped', packet, cause)
+
+
+def log_opening(
+    balancer: TokenBalancer,
+    packet: CallerPacket,
+    servers: tuple[KnownServer, ...],
+) -> None:
+    """Log where an opening went."""
+    balancer.log.info(
+        'opening passed on',
+        extra={
+            **beliefs(balancer, packet),
+            'attempt': packet.attempt,
+            'servers': [known.report.server_id for known in servers],
+        },
+    )
+
+
+def log_end(
+    balancer: TokenBalancer,
+    message: str,
+    packet: CallerPacket,
+    cause: DropCause,
+) -> None:
+    """Log that a packet did not go on, and why."""
+    balancer.log.info(
+        message,
+        extra={
+            **beliefs(balancer, packet),
+            'attempt': packet.attempt,
+            'token': packet.token,
+            'cause': cause,
+        },
+    )
+
+
+def beliefs(balancer: TokenBalancer, packet: CallerPacket) -> dict[str, Any]:
+    """Name a flow, and what the balancer decides by."""
+    age = balancer.clock.monotonic() - balancer.tables.fed_at
+    return {
+        'flow': f'{address_text(packet.caller)}>'
+        f'{address_text(packet.service_address)}',
+        'version': version_of(balancer.tables),
+        'fed_ms_ago': round(age * MILLISECONDS) if math.isfinite(age) else None,
+    }
 
 
 def send(balancer: TokenBalancer, datagram: Datagram) -> None:
@@ -214,6 +280,25 @@
         note_fault(balancer.faults, 'send-failed', error)
 
 
+def measure(balancer: TokenBalancer) -> Measured:
+    """Collect what the balancer has counted and measured."""
+    tables = balancer.tables
+    ready = sum(
+        known.report.state is ServerState.READY
+        for known in tables.directory.servers_by_id.values()
+    )
+    gauges = (
+        Gauge('configuration_version', 'Version in force', version_of(tables)),
+        Gauge('ready_servers', 'Servers that may get new flows', ready),
+        Gauge(
+            'control_silence_seconds',
+            'Time since a current control instance told its state',
+            balancer.clock.monotonic() - tables.fed_at,
+        ),
+    )
+    return Measured(dict(tables.counters), balancer.histograms_by_key, gauges)
+
+
 async def leave_on_signal(balancer: TokenBalancer, left: trio.Event) -> None:
     """Turn unready at a signal, and forward until callers are elsewhere."""
     signalled = trio.Event()
@@ -263,6 +348,12 @@
         nursery.start_soon(run_watch, balancer.watch)
         nursery.start_soon(forget_on, balancer)
         nursery.start_soon(watch_settings)
+        nursery.start_soon(
+            serve_metrics,
+            balancer.options.metrics_address,
+            functools.partial(measure, balancer),
+            left,
+        )
         balancer.log.info('balancer started')
         await serve_http(app, balancer.options.http_address, left)
         balancer.log.info('balancer stopped')
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -14,18 +14,22 @@
     refuse,
     refuse_all,
 )
+from mustardhold.daemons.configuration_pages import (
+    read_configuration,
+    replace_configuration,
+)
 from mustardhold.daemons.registry_control import (
     RegistryControl,
+    ServedAddresses,
     announce,
     make_control,
-    read_configuration,
-    replace_configuration,
     run_registry_control,
 )
 from mustardhold.platform.configurations import read_body
 from mustardhold.platform.reports import read_leave, read_report
 from mustardhold.platform.settings import (
     NodeSettings,
+    metrics_address,
     read_control_options,
     read_growth,
 )
@@ -70,7 +74,7 @@
             extra={'findings': [str(one) for one in read.error]},
         )
         return refuse_all(read.error)
-    outcome = await replace_configuration(control, read.value)
+    outcome = await replace_configuration(control.node, read.value)
     control.node.log.info(
         'configuration answered',
         extra={
@@ -85,7 +89,7 @@
 
 async def show_configuration(control: RegistryControl, _: Ask) -> Reply:
     """Handle an operator's wish to read the configuration."""
-    held = await read_configuration(control)
+    held = await read_configuration(control.node)
     if held is None or not held.version:
         return refuse('', 'not certain', HTTPStatus.SERVICE_UNAVAILABLE)
     return Reply(HTTPStatus.OK, held.document, JSON_TYPE)
@@ -116,7 +120,9 @@
     await run_registry_control(
         control,
         make_pages(control),
-        settings.bind_addresses.control_plane,
+        ServedAddresses(
+            settings.bind_addresses.control_plane, metrics_address(settings)
+        ),
         lambda: follow_settings(control.watch, settings),
     )
 
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -16,6 +16,8 @@
 from mustardhold.tables.outcomes import Err, Ok, Outcome
 
 FILE_VARIABLE = 'MUSTARDHOLD_NODE_FILE'
+# deploy/system.toml names the same port.
+METRICS_PORT = 9464
 
 
 class BindAddresses(msgspec.Struct, frozen=True):
@@ -85,6 +87,11 @@
     return f'{host}:{settings.internal_port_range[0]}'
 
 
+def metrics_address(settings: NodeSettings) -> str:
+    """Return where an instance serves its metrics."""
+    return f'{settings.ip_address}:{METRICS_PORT}'
+
+
 def control_addresses(settings: NodeSettings) -> tuple[str, ...]:
     """Return the internal addresses of the control instances named."""
     return tuple(internal_address(settings, seed) for seed in settings.seeds)
@@ -118,6 +125,7 @@
         settings.zone,
         settings.bind_addresses.datagram_address,
         settings.bind_addresses.readiness_address,
+        metrics_address(settings),
         control_addresses(settings),
         timedelta(milliseconds=settings.heartbeat_interval_ms),
     )
--- a/src/mustardhold/systems/addresses.py
+++ b/src/mustardhold/systems/addresses.py
@@ -42,3 +42,9 @@
     """Split ``"ip:port"`` into a host and a port."""
     host, _, port = address.rpartition(':')
     return host, int(port)
+
+
+def address_text(address: tuple[int, int]) -> str:
+    """Format an IPv4 address and a port, both as numbers."""
+    host, port = address
+    return f'{ipaddress.IPv4Address(host)}:{port}'
--- a/src/mustardhold/systems/answering.py
+++ b/src/mustardhold/systems/answering.py
@@ -5,8 +5,6 @@
 flows of this balancer, so a wrong guess breaks nothing.
 """
 
-from collections.abc import Sequence
-
 from mustardhold.tables.constants import (
     AVOIDED,
     MAX_RECENT_OPENINGS,
@@ -17,22 +15,20 @@
 from mustardhold.tables.forwarding import (
     Answering,
     ForwardingTables,
+    OpenedFlow,
     RecentOpening,
 )
 
 
 def note_opening(
-    tables: ForwardingTables,
-    now: float,
-    flow: bytes,
-    attempt: int,
-    servers: Sequence[KnownServer],
+    tables: ForwardingTables, flow: bytes, opening: RecentOpening
 ) -> None:
     """Remember whom an opening is passed on to."""
-    forget_openings(tables, now)
-    tables.openings_by_flow.pop(flow, None)
-    tokens = tuple(known.token for known in servers)
-    tables.openings_by_flow[flow] = RecentOpening(now, attempt, tokens)
+    forget_openings(tables, opening.sent_at)
+    before = tables.openings_by_flow.pop(flow, None)
+    if before is not None:
+        opening.began_at = before.began_at
+    tables.openings_by_flow[flow] = opening
 
 
 def forget_openings(tables: ForwardingTables, now: float) -> None:
@@ -60,10 +56,17 @@
             answering.avoid_until = now + AVOIDED.total_seconds()
 
 
-def note_answer(tables: ForwardingTables, flow: bytes, token: int) -> None:
+def note_answer(
+    tables: ForwardingTables, now: float, flow: bytes, known: KnownServer
+) -> None:
     """Note that a caller took up the answer of a server."""
-    if tables.openings_by_flow.pop(flow, None) is not None:
-        tables.answering_by_token.pop(token, None)
+    opening = tables.openings_by_flow.pop(flow, None)
+    if opening is None:
+        return
+    tables.answering_by_token.pop(known.token, None)
+    tables.opened.append(
+        OpenedFlow(known.report.service, opening.kind, now - opening.began_at)
+    )
 
 
 def is_avoided(
--- a/src/mustardhold/systems/observing.py
+++ b/src/mustardhold/systems/observing.py
@@ -2,22 +2,24 @@
 
 from bisect import bisect_left
 
+from mustardhold.systems.histograms import (
+    OPEN_SECONDS,
+    REQUEST_SECONDS,
+    observe,
+)
 from mustardhold.systems.routing import service_of
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import (
-    MAX_SERIES,
     MAX_TIMERS,
     TIMER_LIFETIME,
 )
 from mustardhold.tables.histograms import (
-    BATCH_BOUNDS,
     HOP_BOUNDS,
-    SECONDS_BOUNDS,
     Histogram,
+    HistogramKey,
 )
 from mustardhold.tables.observations import (
     Decision,
-    HistogramKey,
     Observations,
     Started,
 )
@@ -38,16 +40,7 @@
 )
 from mustardhold.tables.peers import Relay
 
-REQUEST_SECONDS = 'request_seconds'
-OPEN_SECONDS = 'open_seconds'
-BATCH_PACKETS = 'batch_packets'
 RELAY_HOPS = 'relay_hops'
-BOUNDS_BY_NAME = {
-    'edit_seconds': SECONDS_BOUNDS,
-    REQUEST_SECONDS: SECONDS_BOUNDS,
-    OPEN_SECONDS: SECONDS_BOUNDS,
-    BATCH_PACKETS: BATCH_BOUNDS,
-}
 OUTCOME_BY_KIND: dict[type, str] = {
     Open: 'opening-sent',
     Request: 'forwarded',
@@ -62,18 +55,6 @@
 }
 
 
-def observe(seen: Observations, key: HistogramKey, sample: float) -> None:
-    """Add a sample to the histogram of a name, service and class."""
-    histogram = seen.histograms_by_key.get(key)
-    if histogram is None:
-        if len(seen.histograms_by_key) >= MAX_SERIES:
-            return
-        histogram = Histogram(BOUNDS_BY_NAME[key[0]])
-        seen.histograms_by_key[key] = histogram
-    histogram.counts[bisect_left(histogram.bounds, sample)] += 1
-    histogram.total += sample
-
-
 def relay_histogram(seen: Observations) -> Histogram:
     """Make the histogram of relays from their counts."""
     histogram = Histogram(HOP_BOUNDS)
@@ -169,7 +150,8 @@
     elif isinstance(packet, Answer | Shed):
         started = seen.requests_by_id.pop(packet.request_id, None)
     if started is not None:
-        observe(seen, (name, started.service, started.kind), now - started.at)
+        key = (name, started.service, started.kind)
+        observe(seen.histograms_by_key, key, now - started.at)
 
 
 def expire_timers(seen: Observations, now: float) -> None:
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -27,6 +27,7 @@
     DropCause,
     Forward,
     ForwardingTables,
+    RecentOpening,
     Reset,
 )
 
@@ -51,7 +52,7 @@
         return decide_opening(tables, now, packet, route)
     if route is None:
         return decide_routeless(tables, packet)
-    return decide_by_token(tables, packet)
+    return decide_by_token(tables, now, packet)
 
 
 def decide_routeless(
@@ -68,7 +69,9 @@
     return Drop(cause) if packet.is_reset else Reset(cause)
 
 
-def decide_by_token(tables: ForwardingTables, packet: CallerPacket) -> Decision:
+def decide_by_token(
+    tables: ForwardingTables, now: float, packet: CallerPacket
+) -> Decision:
     """Pass a packet on to the server that its token names."""
     if packet.token == 0:
         return Drop(DropCause.NO_TOKEN)
@@ -77,8 +80,8 @@
         return Drop(DropCause.UNKNOWN_TOKEN)
     if is_ended(tables.directory, known):
         return end_flow(packet, DropCause.FLOW_ENDED)
-    note_answer(tables, flow_key(packet), packet.token)
-    return Forward((known,))
+    note_answer(tables, now, flow_key(packet), known)
+    return Forward((known,), known.report.service)
 
 
 def decide_opening(
@@ -96,7 +99,8 @@
         return refuse_opening(tables, now)
     flow = flow_key(packet)
     blame_unanswered(tables, now, flow, packet.attempt)
-    servers = order_servers(tables, now, choose_service(route, flow), flow)
+    service = choose_service(route, flow)
+    servers = order_servers(tables, now, service, flow)
     if not servers:
         return Drop(DropCause.NO_SERVER)
     first = packet.attempt * OPENINGS_AT_ONCE
@@ -104,8 +108,10 @@
     chosen = tuple(
         servers[(first + one) % len(servers)] for one in range(count)
     )
-    note_opening(tables, now, flow, packet.attempt, chosen)
-    return Forward(chosen)
+    tokens = tuple(known.token for known in chosen)
+    opening = RecentOpening(now, now, packet.attempt, tokens, route.kind)
+    note_opening(tables, flow, opening)
+    return Forward(chosen, service)
 
 
 def refuse_opening(tables: ForwardingTables, now: float) -> Decision:
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -117,3 +117,7 @@
 MAX_RECENT_OPENINGS: Final = 16_384
 UNANSWERED_TO_AVOID: Final = 2
 AVOIDED: Final = timedelta(seconds=3)
+
+LOG_LINES_PER_SECOND: Final = 20.0
+LOG_LINES_BURST: Final = 100.0
+MAX_LOG_BACKLOG_BYTES: Final = 65_536
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -12,6 +12,7 @@
 
 from mustardhold.tables.configurations import (
     Configuration,
+    RequestKind,
     ServiceAddress,
 )
 from mustardhold.tables.directory import Directory, KnownServer
@@ -57,6 +58,7 @@
     """Pass the packet on, once to each server, each with its own token."""
 
     servers: tuple[KnownServer, ...]
+    service: str
 
 
 class Reset(NamedTuple):
@@ -96,15 +98,25 @@
 
     Attributes
     ----------
-    sent_at
-        When it was last passed on; local clock.
+    began_at, sent_at
+        When it was first and last passed on; local clock.
     tokens
         Of the servers that it was last passed on to.
     """
 
+    began_at: float
     sent_at: float
     attempt: int
     tokens: tuple[int, ...]
+    kind: RequestKind
+
+
+class OpenedFlow(NamedTuple):
+    """A flow whose caller took up a server's answer, and after what time."""
+
+    service: str
+    kind: RequestKind
+    seconds: float
 
 
 @dataclass(slots=True)
@@ -133,6 +145,8 @@
         Where the balancer runs.
     openings_by_flow
         Latest openings, oldest first; only a hint, so it may be lost.
+    opened
+        Flows that have just opened, until they are observed.
     report_interval
         Time between two reports of a server.
     removed_addresses
@@ -150,5 +164,6 @@
     fed_at: float = float('-inf')
     openings_by_flow: dict[bytes, RecentOpening] = field(default_factory=dict)
     answering_by_token: dict[int, Answering] = field(default_factory=dict)
+    opened: list[OpenedFlow] = field(default_factory=list)
     is_stopping: bool = False
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
--- a/src/mustardhold/tables/histograms.py
+++ b/src/mustardhold/tables/histograms.py
@@ -22,6 +22,9 @@
 BATCH_BOUNDS: Final = (1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0)
 HOP_BOUNDS: Final = (1.0, 2.0, 3.0, 4.0)
 
+HistogramKey = tuple[str, str, str]
+"""Name, service and class."""
+
 
 @dataclass(slots=True)
 class Histogram:
--- a/src/mustardhold/tables/observations.py
+++ b/src/mustardhold/tables/observations.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from mustardhold.tables.constants import MAX_DECISIONS
-from mustardhold.tables.histograms import Histogram
+from mustardhold.tables.histograms import Histogram, HistogramKey
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -49,9 +49,6 @@
     at: float
 
 
-HistogramKey = tuple[str, str, str]
-
-
 @dataclass(slots=True)
 class Observations:
     """Timings and decisions of one balancer.
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -101,6 +101,8 @@
         Where the fabric asks whether the balancer is ready.
     control_addresses
         Internal addresses of some control instances.
+    metrics_address
+        Where metrics are served.
     report_interval
         Time between two reports of a backend server.
     """
@@ -109,5 +111,6 @@
     data_centre: Name
     data_address: Address
     http_address: Address
+    metrics_address: Address
     control_addresses: tuple[Address, ...]
     report_interval: timedelta
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -43,12 +43,17 @@
 
 
 def start(fleet: Fleet, name: str, *command: str) -> None:
-    """Start a Python module as a process; its log goes to a file."""
+    """Start a Python module as a process; its log goes to a file.
+
+    A stand-in writes its results to standard output, which ``stop`` returns;
+    a program of the product logs there.
+    """
+    is_product = command[0] == 'mustardhold'
     log_path = fleet.folder / f'{name}.log'
     with log_path.open('a', encoding='utf-8') as log:
         fleet.processes_by_name[name] = subprocess.Popen(
             [sys.executable, '-m', *command],
-            stdout=subprocess.PIPE,
+            stdout=log if is_product else subprocess.PIPE,
             stderr=log,
             text=True,
             env={**os.environ, 'PYTHONPATH': PYTHON_PATH},
