--- a/src/mustardhold/adapters/logs.py
+++ b/src/mustardhold/adapters/logs.py
@@ -2,7 +2,6 @@
 
 import logging
 import os
-import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +14,7 @@
     MAX_LOG_BACKLOG_BYTES,
 )
 
+STANDARD_OUTPUT = 1
 FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
@@ -124,7 +124,7 @@
     logging.Logger
         The program's logger.
     """
-    writer = make_writer(sys.stdout.fileno())
+    writer = make_writer(STANDARD_OUTPUT)
     handler = BoundedHandler(writer, time.monotonic)
     handler.setFormatter(
         JsonFormatter(
