Tell the story of a flow from the logs of all processes

Cause: a failed request is explained by lines of several processes: where the opening went, what was believed of its server, what the balancer had heard.

A line for each server that a balancer comes to avoid.

--- a/src/mustardhold/cli.py
+++ b/src/mustardhold/cli.py
@@ -12,6 +12,7 @@
 )
 from mustardhold.commands.replicas import run_replica
 from mustardhold.commands.show import run_status
+from mustardhold.commands.trace import run_trace
 
 COMMANDS = {
     'balancer': run_balancer_program,
@@ -22,6 +23,7 @@
     'replica': run_replica,
     'status': run_status,
     'explain': run_explain,
+    'trace': run_trace,
 }
 
 
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -5,6 +5,7 @@
 
 from mustardhold.tables.routing import Weighting
 
+DEFAULT_WINDOW_SECONDS = 5.0
 EPILOG = """\
 examples:
   mustardhold check balancer.yaml control.yaml
@@ -14,6 +15,7 @@
   mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
   mustardhold status --at 127.0.0.1:7101 --at 127.0.0.1:7102
   mustardhold explain 198.51.100.7:40000,10.20.0.2:443 --at 127.0.0.1:7101
+  mustardhold trace 198.51.100.7:40000 --logs balancer-*.log control-*.log
 
 exit codes:
   0  done
@@ -46,9 +48,29 @@
     add_explain(
         commands.add_parser('explain', help='tell what was decided and why')
     )
+    add_trace(commands.add_parser('trace', help='tell from logs what happened'))
     return parser
 
 
+def add_trace(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``trace``."""
+    command.add_argument(
+        'subject',
+        metavar='CALLER|FLOW|SERVER|VERSION',
+        help='a caller is its address, with or without the port',
+    )
+    command.add_argument(
+        '--logs', type=Path, nargs='+', required=True, metavar='FILE'
+    )
+    command.add_argument(
+        '--window',
+        type=float,
+        default=DEFAULT_WINDOW_SECONDS,
+        metavar='SECONDS',
+        help='how far around it to show what was believed',
+    )
+
+
 def add_replica(command: argparse.ArgumentParser) -> None:
     """Add the arguments of ``replica``."""
     command.add_argument('action', choices=('replace',))
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -195,10 +195,26 @@
     now = balancer.clock.monotonic()
     decision = decide(balancer.tables, now, packet)
     follow_decision(balancer, raw, packet, decision)
-    for opened in balancer.tables.opened:
+    note_news(balancer)
+
+
+def note_news(balancer: TokenBalancer) -> None:
+    """Observe the flows that opened, and log the servers now avoided."""
+    tables = balancer.tables
+    for opened in tables.opened:
         key = (OPEN_SECONDS, opened.service, opened.kind)
         observe(balancer.histograms_by_key, key, opened.seconds)
-    balancer.tables.opened.clear()
+    tables.opened.clear()
+    for token in tables.avoided:
+        known = tables.directory.servers_by_token.get(token)
+        balancer.log.info(
+            'server avoided',
+            extra={
+                'server': known.report.server_id if known else '',
+                'unanswered': tables.answering_by_token[token].unanswered,
+            },
+        )
+    tables.avoided.clear()
 
 
 def follow_decision(
--- a/src/mustardhold/systems/answering.py
+++ b/src/mustardhold/systems/answering.py
@@ -53,6 +53,8 @@
         answering = tables.answering_by_token.setdefault(token, Answering())
         answering.unanswered += 1
         if answering.unanswered >= UNANSWERED_TO_AVOID:
+            if now >= answering.avoid_until:
+                tables.avoided.append(token)
             answering.avoid_until = now + AVOIDED.total_seconds()
 
 
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -147,6 +147,8 @@
         Latest openings, oldest first; only a hint, so it may be lost.
     opened
         Flows that have just opened, until they are observed.
+    avoided
+        Tokens of servers that have just come to be avoided, until logged.
     report_interval
         Time between two reports of a server.
     removed_addresses
@@ -165,5 +167,6 @@
     openings_by_flow: dict[bytes, RecentOpening] = field(default_factory=dict)
     answering_by_token: dict[int, Answering] = field(default_factory=dict)
     opened: list[OpenedFlow] = field(default_factory=list)
+    avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -29,11 +29,13 @@
             os.close(descriptor)
 
 
-def make_logger(writer, times):
+def make_logger(writer, times, name):
     handler = BoundedHandler(writer, lambda: times[0])
     handler.setFormatter(JsonFormatter('%(message)s'))
-    logger = logging.Logger('test')
-    logger.addHandler(handler)
+    logger = logging.getLogger(name)
+    logger.handlers = [handler]
+    logger.propagate = False
+    logger.setLevel(logging.INFO)
     return logger
 
 
@@ -50,7 +52,7 @@
 
 def test_a_message_has_a_budget_and_tells_what_was_left_out(pipe):
     times = [0.0]
-    logger = make_logger(make_writer(pipe[1]), times)
+    logger = make_logger(make_writer(pipe[1]), times, 'budget')
     for _ in range(1000):
         logger.info('opening passed on')
     logger.info('control lost')
@@ -67,7 +69,7 @@
 def test_a_full_pipe_blocks_nothing_and_loses_whole_lines(pipe):
     times = [0.0]
     writer = make_writer(pipe[1])
-    logger = make_logger(writer, times)
+    logger = make_logger(writer, times, 'full')
     for number in range(5000):
         times[0] += 1
         logger.info('line', extra={'number': number, 'padding': 'x' * 200})
@@ -96,5 +98,5 @@
 def test_a_reader_that_is_gone_ends_nothing(pipe):
     writer = make_writer(pipe[1])
     os.close(pipe[0])
-    make_logger(writer, [0.0]).info('line')
+    make_logger(writer, [0.0], 'gone').info('line')
     assert writer.lost == 1
