Fetch a configuration once, compressed, apart from what is told of servers

Change: a reply tells the version; the document is fetched by itself. The page for configurations takes up to 8 MiB. The directory of servers is kept on disk, so that control that was restarted as a whole can tell what it knew.

--- /dev/null
+++ b/src/mustardhold/daemons/directory_keeping.py
@@ -0,0 +1,51 @@
+"""Saves the directory of backend servers as it changes."""
+
+import trio
+
+from mustardhold.adapters.directory_store import load_reports, save_reports
+from mustardhold.adapters.disk import Disk
+from mustardhold.daemons.faults import Faults, note_fault
+from mustardhold.systems.directory import take_report
+from mustardhold.tables.constants import KEEPING_INTERVAL, KEPT_REPORT_AGE
+from mustardhold.tables.directory import Directory
+
+
+def restore_directory(disk: Disk, directory: Directory, now: float) -> int:
+    """Fill a new directory with what was kept.
+
+    The reports count as somewhat old: servers that are gone by now soon
+    get no new flows.
+
+    Returns
+    -------
+    int
+        Servers that were kept.
+    """
+    age = KEPT_REPORT_AGE.total_seconds()
+    for report in load_reports(disk):
+        take_report(directory, now, report, age)
+    return len(directory.servers_by_id)
+
+
+async def keep_directory(
+    disk: Disk, directory: Directory, faults: Faults
+) -> None:
+    """Save each change of the directory soon, in a thread.
+
+    A disk that is full or stalls delays only this.
+    """
+    saved_revision = directory.urgent_revision
+    while True:
+        await trio.sleep(KEEPING_INTERVAL.total_seconds())
+        if directory.urgent_revision == saved_revision:
+            continue
+        saved_revision = directory.urgent_revision
+        reports = tuple(
+            known.report for known in directory.servers_by_id.values()
+        )
+        try:
+            await trio.to_thread.run_sync(
+                save_reports, disk, reports, abandon_on_cancel=True
+            )
+        except OSError as error:
+            note_fault(faults, 'directory-not-kept', error)
--- a/src/mustardhold/daemons/feed_pages.py
+++ b/src/mustardhold/daemons/feed_pages.py
@@ -1,7 +1,9 @@
 """Tells watchers of servers and configurations, by long poll."""
 
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import msgspec
 import trio
@@ -9,11 +11,13 @@
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.http_app import Ask, Reply, json_reply
 from mustardhold.systems.directory import rows_after
-from mustardhold.tables.configurations import VersionedDocument
+from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.constants import FEED_WAIT
 from mustardhold.tables.directory import Directory
 from mustardhold.tables.feed import FeedAsk, FeedReply
 
+BYTES_TYPE = 'application/octet-stream'
+
 _ask_decoder = msgspec.json.Decoder(FeedAsk)
 
 
@@ -29,6 +33,8 @@
         Revision that each watcher has certainly merged.
     changed, asked
         Set, and replaced, at each change and each poll.
+    packed
+        The configuration as it was last sent.
     """
 
     run_id: str
@@ -40,6 +46,7 @@
     revisions_by_watcher: dict[str, int] = field(default_factory=dict)
     changed: trio.Event = field(default_factory=trio.Event)
     asked: trio.Event = field(default_factory=trio.Event)
+    packed: VersionedDocument = NO_DOCUMENT
 
 
 def wake_feed(feed: Feed) -> None:
@@ -58,7 +65,7 @@
     with trio.move_on_after(FEED_WAIT.total_seconds()):
         while not has_news(feed, after, wanted.version):
             await feed.changed.wait()
-    return json_reply(make_reply(feed, after, wanted.version))
+    return json_reply(make_reply(feed, after))
 
 
 def has_news(feed: Feed, after: int, version: int) -> bool:
@@ -68,19 +75,27 @@
     return feed.configuration().version > version
 
 
-def make_reply(feed: Feed, after: int, version: int) -> FeedReply:
+def make_reply(feed: Feed, after: int) -> FeedReply:
     """Collect what a watcher lacks."""
-    held = feed.configuration()
     return FeedReply(
         feed.run_id,
         feed.directory.revision,
         tuple(rows_after(feed.directory, feed.clock.monotonic(), after)),
         feed.is_current(),
+        feed.configuration().version,
         feed.controls(),
-        held if held.version > version else None,
     )
 
 
+async def show_document(feed: Feed, _: Ask) -> Reply:
+    """Answer with the configuration in force, compressed once a version."""
+    held = feed.configuration()
+    if feed.packed.version != held.version:
+        packed = zlib.compress(msgspec.msgpack.encode(held))
+        feed.packed = VersionedDocument(held.version, packed)
+    return Reply(HTTPStatus.OK, feed.packed.document, BYTES_TYPE)
+
+
 async def wait_merged(
     feed: Feed, revision: int, watchers: frozenset[str], count: int
 ) -> None:
--- a/src/mustardhold/daemons/feed_watch.py
+++ b/src/mustardhold/daemons/feed_watch.py
@@ -1,6 +1,7 @@
 """Follows what control instances tell, several of them at once."""
 
 import logging
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,7 @@
 from mustardhold.systems.directory import take_rows
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.constants import (
+    DOCUMENT_TIMEOUT,
     FEED_MARGIN,
     FEED_RETRY,
     FEED_STALE,
@@ -27,10 +29,29 @@
 from mustardhold.tables.outcomes import Err
 
 FEED_PAGE = '/feed'
+DOCUMENT_PAGE = '/document'
+ANY_VERSION = 2**62
 CHECK_SECONDS = 0.1
 POLL_SECONDS = (FEED_WAIT + FEED_MARGIN).total_seconds()
 
 _reply_decoder = msgspec.json.Decoder(FeedReply)
+_document_decoder = msgspec.msgpack.Decoder(VersionedDocument)
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentSink:
+    """Takes configurations.
+
+    Attributes
+    ----------
+    version
+        Returns the version that the process has.
+    take
+        Takes a newer configuration.
+    """
+
+    version: Callable[[], int]
+    take: Callable[[VersionedDocument], None]
 
 
 @dataclass(slots=True)
@@ -45,16 +66,18 @@
         Internal addresses of control instances.
     limit
         Control instances to watch at the same time.
-    version
-        Returns the version of the configuration that the process has.
-    take_configuration
-        Takes a newer configuration.
+    documents
+        Where newer configurations go; none where they come otherwise.
     note_report
         Learns of each report that was new.
     note_reply
         Learns of each reply, after it was merged.
     failed_at
         When an address last failed; local clock.
+    newest_version, newest_at
+        Newest version that was heard of, and who told.
+    heard
+        Set once there is a newer version to fetch.
     """
 
     name: str
@@ -64,18 +87,22 @@
     log: logging.Logger
     limit: int
     contacts: set[str]
-    version: Callable[[], int]
-    take_configuration: Callable[[VersionedDocument], None]
+    documents: DocumentSink | None
     note_report: Callable[[ServerReport], None]
     note_reply: Callable[[FeedReply], None]
     client: HttpClient = field(default_factory=HttpClient)
     watched: set[str] = field(default_factory=set)
     failed_at: dict[str, float] = field(default_factory=dict)
+    newest_version: int = 0
+    newest_at: str = ''
+    heard: trio.Event = field(default_factory=trio.Event)
 
 
 async def run_watch(watch: FeedWatch) -> None:
     """Keep watching as many control instances as wanted."""
     async with trio.open_nursery() as nursery:
+        if watch.documents is not None:
+            nursery.start_soon(fetch_documents, watch, watch.documents)
         while True:
             for address in next_contacts(watch):
                 watch.watched.add(address)
@@ -108,14 +135,14 @@
     current_at = watch.clock.monotonic()
     try:
         while True:
-            ask = FeedAsk(watch.name, run_id, after, watch.version())
+            ask = FeedAsk(watch.name, run_id, after, version_to_ask(watch))
             reply = await poll(watch, address, ask)
             if reply is None:
                 break
             if not is_reached:
                 is_reached = True
                 watch.log.info('control reached', extra={'address': address})
-            take_reply(watch, reply)
+            take_reply(watch, address, reply)
             run_id, after = reply.run_id, reply.revision
             now = watch.clock.monotonic()
             current_at = now if reply.is_current else current_at
@@ -147,12 +174,73 @@
         return None
 
 
-def take_reply(watch: FeedWatch, reply: FeedReply) -> None:
+def version_to_ask(watch: FeedWatch) -> int:
+    """Choose above which version the watched one has to wake this process.
+
+    One that is being fetched already must not end each poll at once.
+    """
+    if watch.documents is None:
+        return ANY_VERSION
+    return max(watch.documents.version(), watch.newest_version)
+
+
+def take_reply(watch: FeedWatch, address: str, reply: FeedReply) -> None:
     """Merge what a control instance told."""
     watch.contacts.update(reply.controls)
     now = watch.clock.monotonic()
     for report in take_rows(watch.directory, now, reply.rows):
         watch.note_report(report)
-    if reply.configuration is not None:
-        watch.take_configuration(reply.configuration)
+    if reply.version > version_to_ask(watch):
+        watch.newest_version = reply.version
+        watch.newest_at = address
+        watch.heard.set()
     watch.note_reply(reply)
+
+
+async def fetch_documents(watch: FeedWatch, sink: DocumentSink) -> None:
+    """Fetch each newer configuration once, apart from the polls.
+
+    A large one takes seconds on a thin link; what is told of servers must
+    not wait for it.
+    """
+    while True:
+        await watch.heard.wait()
+        watch.heard = trio.Event()
+        while watch.newest_version > sink.version():
+            if not await fetch_document(watch, sink, watch.newest_at):
+                # The next poll tells again who has a newer one.
+                watch.newest_version = sink.version()
+                await trio.sleep(CHECK_SECONDS)
+
+
+async def fetch_document(
+    watch: FeedWatch, sink: DocumentSink, address: str
+) -> bool:
+    """Fetch the configuration that a control instance has in force.
+
+    Returns
+    -------
+    bool
+        Whether it was newer than what the process had.
+    """
+    request = HttpRequest('GET', address, DOCUMENT_PAGE)
+    seconds = DOCUMENT_TIMEOUT.total_seconds()
+    asked = await send_request(watch.client, request, seconds)
+    reason = 'was refused'
+    if isinstance(asked, Err):
+        reason = asked.error.reason
+    elif asked.value.is_success:
+        before = sink.version()
+        try:
+            sink.take(
+                _document_decoder.decode(zlib.decompress(asked.value.body))
+            )
+        except (msgspec.DecodeError, zlib.error) as error:
+            reason = str(error)
+        else:
+            return sink.version() > before
+    watch.log.warning(
+        'configuration not fetched',
+        extra={'address': address, 'reason': reason},
+    )
+    return False
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -7,7 +7,7 @@
 import functools
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -24,14 +24,24 @@
     show_configuration,
     take_forwarded,
 )
+from mustardhold.daemons.directory_keeping import (
+    keep_directory,
+    restore_directory,
+)
 from mustardhold.daemons.faults import note_fault
 from mustardhold.daemons.feed_pages import (
     Feed,
+    show_document,
     show_feed,
     wait_merged,
     wake_feed,
 )
-from mustardhold.daemons.feed_watch import FEED_PAGE, FeedWatch, run_watch
+from mustardhold.daemons.feed_watch import (
+    DOCUMENT_PAGE,
+    FEED_PAGE,
+    FeedWatch,
+    run_watch,
+)
 from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.replica_links import REPLICA_PAGE, Links
 from mustardhold.daemons.replica_node import (
@@ -52,6 +62,7 @@
 )
 from mustardhold.tables.constants import (
     LEAVE_TIMEOUT,
+    MAX_CONFIGURATION_BYTES,
     MAX_REPLICA_BODY_BYTES,
     MAX_REPLICAS,
 )
@@ -77,6 +88,13 @@
     watch: FeedWatch
 
 
+class PublicPages(NamedTuple):
+    """What backend servers and operators see, and how much they may send."""
+
+    handlers: HandlersByPath
+    max_bytes_by_path: Mapping[str, int]
+
+
 class ServedAddresses(NamedTuple):
     """Where a control instance serves whom, besides its internal address."""
 
@@ -93,9 +111,11 @@
     clock: Clock,
     log: logging.Logger,
 ) -> RegistryControl:
-    """Open the data folder, and start with an empty directory."""
+    """Open the data folder, and start with the servers it names."""
     node = make_node(options, clock, log, growth)
     directory = Directory()
+    kept = restore_directory(node.disk, directory, clock.monotonic())
+    log.info('directory restored', extra={'servers': kept})
     feed = Feed(
         f'{random.getrandbits(RUN_ID_BITS):x}',
         directory,
@@ -112,8 +132,7 @@
         log,
         MAX_REPLICAS,
         {replica.http_address for replica in options.replicas},
-        lambda: node.replica.configuration.version,
-        lambda _: None,
+        None,
         functools.partial(note_report, log),
         lambda _: wake_feed(feed),
     )
@@ -180,6 +199,7 @@
     return {
         ('POST', REPLICA_PAGE): functools.partial(take_message, control.node),
         ('POST', FEED_PAGE): functools.partial(show_feed, control.feed),
+        ('GET', DOCUMENT_PAGE): functools.partial(show_document, control.feed),
         ('POST', CONFIGURATION_PAGE): functools.partial(
             take_forwarded, control.node
         ),
@@ -221,7 +241,7 @@
 
 async def run_registry_control(
     control: RegistryControl,
-    pages: HandlersByPath,
+    pages: PublicPages,
     addresses: ServedAddresses,
     watch_settings: Task,
 ) -> None:
@@ -236,10 +256,13 @@
     """
     node = control.node
     fault = functools.partial(note_fault, node.faults, 'http-failed')
-    public = make_app(pages, note_fault=fault)
+    public = make_app(pages.handlers, pages.max_bytes_by_path, fault)
     internal = make_app(
         make_internal_pages(control),
-        {REPLICA_PAGE: MAX_REPLICA_BODY_BYTES},
+        {
+            REPLICA_PAGE: MAX_REPLICA_BODY_BYTES,
+            CONFIGURATION_PAGE: 2 * MAX_CONFIGURATION_BYTES,
+        },
         note_fault=fault,
     )
     async with trio.open_nursery() as nursery:
@@ -250,6 +273,9 @@
         nursery.start_soon(run_replica, node)
         nursery.start_soon(run_watch, control.watch)
         nursery.start_soon(forget_on, control)
+        nursery.start_soon(
+            keep_directory, node.disk, control.directory, node.faults
+        )
         nursery.start_soon(watch_settings)
         node.log.info(
             'control started',
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -14,7 +14,11 @@
 from mustardhold.adapters.http_app import HandlersByPath, make_app
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.faults import Faults, note_fault
-from mustardhold.daemons.feed_watch import FeedWatch, run_watch
+from mustardhold.daemons.feed_watch import (
+    DocumentSink,
+    FeedWatch,
+    run_watch,
+)
 from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.signals import stop_on_signal
@@ -126,8 +130,10 @@
         log,
         WATCHED_CONTROLS,
         set(options.control_addresses),
-        functools.partial(version_of, tables),
-        lambda document: take_configuration(balancer, document),
+        DocumentSink(
+            functools.partial(version_of, tables),
+            lambda document: take_configuration(balancer, document),
+        ),
         lambda report: note_report(balancer, report),
         lambda reply: note_reply(balancer, reply),
     )
@@ -181,8 +187,8 @@
 
 
 def note_reply(balancer: TokenBalancer, reply: FeedReply) -> None:
-    """Note that a control instance told its state."""
-    if reply.is_current:
+    """Note that a control instance told that this balancer is up to date."""
+    if reply.is_current and reply.version <= version_of(balancer.tables):
         balancer.tables.fed_at = balancer.clock.monotonic()
 
 
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -9,7 +9,6 @@
 from mustardhold.adapters.http_app import (
     JSON_TYPE,
     Ask,
-    HandlersByPath,
     Reply,
     refuse,
     refuse_all,
@@ -19,6 +18,7 @@
     replace_configuration,
 )
 from mustardhold.daemons.registry_control import (
+    PublicPages,
     RegistryControl,
     ServedAddresses,
     announce,
@@ -35,10 +35,12 @@
 )
 from mustardhold.platform.starting import follow_settings, run_program
 from mustardhold.systems.directory import ended
+from mustardhold.tables.constants import MAX_CONFIGURATION_BYTES
 from mustardhold.tables.outcomes import Err
 from mustardhold.tables.routing import Accepted
 
 EMPTY = b'{}'
+REPLACE_PAGE = '/api/configuration/replace'
 
 
 async def take_report(control: RegistryControl, ask: Ask) -> Reply:
@@ -95,18 +97,21 @@
     return Reply(HTTPStatus.OK, held.document, JSON_TYPE)
 
 
-def make_pages(control: RegistryControl) -> HandlersByPath:
+def make_pages(control: RegistryControl) -> PublicPages:
     """Make the pages that backend servers and operators call."""
     handlers = {
         ('POST', '/api/instances/*/heartbeat'): take_report,
         ('POST', '/api/instances/*/leave'): take_leave,
-        ('POST', '/api/configuration/replace'): take_configuration,
+        ('POST', REPLACE_PAGE): take_configuration,
         ('GET', '/api/configuration/get'): show_configuration,
     }
-    return {
-        page: functools.partial(handler, control)
-        for page, handler in handlers.items()
-    }
+    return PublicPages(
+        {
+            page: functools.partial(handler, control)
+            for page, handler in handlers.items()
+        },
+        {REPLACE_PAGE: MAX_CONFIGURATION_BYTES},
+    )
 
 
 async def run_control(settings: NodeSettings, log: Logger) -> None:
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -106,6 +106,8 @@
 COLD_WEIGHT: Final = 0.5
 FEED_WAIT: Final = timedelta(milliseconds=600)
 FEED_MARGIN: Final = timedelta(milliseconds=700)
+DOCUMENT_TIMEOUT: Final = timedelta(seconds=5)
+MAX_CONFIGURATION_BYTES: Final = 8_388_608
 FEED_RETRY: Final = timedelta(milliseconds=150)
 FEED_FRESH: Final = timedelta(milliseconds=1_500)
 FEED_STALE: Final = timedelta(seconds=2)
@@ -121,3 +123,5 @@
 LOG_LINES_PER_SECOND: Final = 20.0
 LOG_LINES_BURST: Final = 100.0
 MAX_LOG_BACKLOG_BYTES: Final = 65_536
+KEEPING_INTERVAL: Final = timedelta(milliseconds=500)
+KEPT_REPORT_AGE: Final = timedelta(seconds=1)
--- a/src/mustardhold/tables/feed.py
+++ b/src/mustardhold/tables/feed.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.directory import DirectoryRow
 
 
@@ -18,7 +17,7 @@
     after
         Revision of its directory that the watcher has merged.
     version
-        Version of the configuration that the watcher has.
+        Newest version of the configuration that the watcher has heard of.
     """
 
     watcher: str
@@ -35,6 +34,8 @@
     is_current
         Whether the sender would know of a configuration that was just
         committed.
+    version
+        Of the configuration that the sender has in force.
     controls
         Internal addresses of all control instances that it knows.
     """
@@ -43,5 +44,5 @@
     revision: int
     rows: tuple[DirectoryRow, ...]
     is_current: bool
+    version: int
     controls: tuple[str, ...]
-    configuration: VersionedDocument | None = None
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,8 +1,15 @@
 """Backend servers that announce themselves: order, restarts and reuse."""
 
+import random
+
 import msgspec
 import pytest
 
+from mustardhold.adapters.directory_store import (
+    DIRECTORY_NAME,
+    save_reports,
+)
+from mustardhold.daemons.directory_keeping import restore_directory
 from mustardhold.systems.directory import (
     ended,
     forget_servers,
@@ -12,12 +19,17 @@
     take_rows,
     token_of,
 )
-from mustardhold.tables.constants import ENDED_SERVER_KEPT, SILENT_SERVER_KEPT
+from mustardhold.tables.constants import (
+    ENDED_SERVER_KEPT,
+    KEPT_REPORT_AGE,
+    SILENT_SERVER_KEPT,
+)
 from mustardhold.tables.directory import (
     Directory,
     ServerReport,
     ServerState,
 )
+from tools.fakes.disks import FakeDisk, crash
 
 READY, DRAINING = ServerState.READY, ServerState.DRAINING
 
@@ -143,3 +155,24 @@
     assert not directory.servers_by_id
     assert not directory.servers_by_token
     assert not directory.ids_by_address
+
+
+def test_directory_outlives_a_crash_and_its_servers_count_as_old():
+    disk = FakeDisk(random.Random(1))
+    kept = directory_of(report(), report('i-b2', address='10.0.0.2:80'))
+    reports = tuple(known.report for known in kept.servers_by_id.values())
+    save_reports(disk, reports)
+    crash(disk)
+    directory = Directory()
+    assert restore_directory(disk, directory, 100.0) == 2
+    known = directory.servers_by_id['i-a1']
+    assert known.heard_at == 100 - KEPT_REPORT_AGE.total_seconds()
+    # What a server says itself goes before what was kept.
+    assert take_report(directory, 100.5, report(sequence=2, state=DRAINING))
+
+
+@pytest.mark.parametrize('raw', [b'', b'nonsense', b'\x00' * 64])
+def test_unreadable_directory_is_an_empty_one(raw):
+    disk = FakeDisk(random.Random(1))
+    disk.append(DIRECTORY_NAME, raw)
+    assert restore_directory(disk, Directory(), 1.0) == 0
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -17,6 +17,7 @@
 from mustardhold.systems import consensus
 from mustardhold.systems.replica_log import CommitContradictedError
 from mustardhold.tables.consensus import (
+    Applied,
     AppliedEdit,
     Effects,
     NotLeader,
@@ -27,7 +28,9 @@
     ReplicaSend,
     Role,
 )
+from mustardhold.tables.options import GrowthPolicy
 from mustardhold.tables.routing import (
+    Accepted,
     Edit,
     EditOutcome,
     NoQuorum,
@@ -89,6 +92,11 @@
         First table shown at a version; versions shown with two contents.
     contradicted
         What replicas said that had to drop a committed entry.
+    seeds
+        Who is named in the settings; everyone where it is empty.
+    voters
+        Voters that a group aims at which grows on its own; 0 where it
+        does not.
     """
 
     queue: EventQueue
@@ -100,24 +108,45 @@
     torn_versions: list[int] = field(default_factory=list)
     contradicted: list[str] = field(default_factory=list)
     renamed: int = 0
-
-
-def make_group(seed: int, names: tuple[str, ...], *, syncing: bool) -> Group:
+    seeds: tuple[str, ...] = ()
+    voters: int = 0
+
+
+def make_group(
+    seed: int,
+    names: tuple[str, ...],
+    *,
+    syncing: bool,
+    seeds: tuple[str, ...] = (),
+    voters: int = 0,
+) -> Group:
     """Make replicas with empty disks, and start them."""
     queue = make_queue(seed)
     network = Network(queue, loss=0.02, repeats=0.02)
     nodes = {
         name: Node(name, make_disk(queue, syncing=syncing)) for name in names
     }
-    group = Group(queue, network, nodes)
+    group = Group(queue, network, nodes, seeds=seeds, voters=voters)
     for name in names:
-        start(group, name)
-        schedule_every(
-            queue, TICK_SECONDS, functools.partial(tick, group, name)
-        )
+        start_ticking(group, name)
     return group
 
 
+def add_node(group: Group, name: str, *, syncing: bool) -> None:
+    """Add a process with an empty disk, after the group was formed."""
+    node = Node(name, make_disk(group.queue, syncing=syncing), starts=1)
+    group.nodes_by_name[name] = node
+    start_ticking(group, name)
+
+
+def start_ticking(group: Group, name: str) -> None:
+    """Start a process, and let it act on the time."""
+    start(group, name)
+    schedule_every(
+        group.queue, TICK_SECONDS, functools.partial(tick, group, name)
+    )
+
+
 def make_disk(queue: EventQueue, *, syncing: bool) -> FakeDisk:
     """Make an empty disk with a random source of its own."""
     return FakeDisk(random.Random(queue.rng.random()), is_syncing=syncing)
@@ -138,10 +167,13 @@
     store, saved = open_store(node.disk)
     replica = consensus.make_replica(
         ReplicaMember(identity.uid, name, name),
-        tuple(address_of(other) for other in group.nodes_by_name),
+        tuple(map(address_of, group.seeds or group.nodes_by_name)),
         random.Random(group.queue.rng.random()).random,
         group.queue.now,
     )
+    if group.voters:
+        # Only a first start may found a group.
+        replica.growth = GrowthPolicy(group.voters, node.starts == 1)
     consensus.restore_replica(
         replica, saved.vote, saved.snapshot, saved.log, saved.commit_index
     )
@@ -255,8 +287,7 @@
         term, answer = node.answers_by_index.pop(
             applied.index, (0, lambda _: None)
         )
-        if isinstance(applied, AppliedEdit):
-            answer(applied.outcome if term == applied.term else Unknown())
+        answer(outcome_of(applied) if term == applied.term else Unknown())
     if effects.applied or effects.snapshot is not None:
         note_table(group, node.replica.edits.table)
     if effects.applied:
@@ -264,6 +295,13 @@
             save_commit(node.store, node.replica.commit_index)
 
 
+def outcome_of(applied: Applied) -> AnyOutcome:
+    """Return what an applied command came to."""
+    if isinstance(applied, AppliedEdit):
+        return applied.outcome
+    return Accepted(applied.index)
+
+
 def note_table(group: Group, table: RoutingTable) -> None:
     """Note a table that was shown; one version has one content."""
     first = group.tables_by_version.setdefault(table.version, table)
