--- a/tools/layers.py
+++ b/tools/layers.py
@@ -1,6 +1,7 @@
-"""Checks that imports between the layers point downwards only."""
+"""Checks the imports between the layers, and where platform names stand."""
 
 import ast
+import re
 import sys
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,7 +13,16 @@
     'systems': {'systems', 'tables'},
     'adapters': {'adapters', 'systems', 'tables'},
     'daemons': {'daemons', 'adapters', 'systems', 'tables'},
+    'platform': {'platform', 'daemons', 'adapters', 'systems', 'tables'},
 }
+PLATFORM = 'platform'
+# Names of the platform; only its folder and its deploy file use them.
+PLATFORM_NAMES = re.compile(
+    r'\b(frontend|control_plane|datagram_address|readiness_address'
+    r'|heartbeat_address|heartbeat_interval_ms|path_prefix|max_flows'
+    r'|cold_remaining_ms|forwarding_mode|echo|born|zone|zones'
+    r'|MUSTARDHOLD_NODE_FILE)\b'
+)
 # Decisions do no input or output and read no clock.
 FORBIDDEN_BELOW = {'trio', 'socket', 'time', 'httpx', 'os', 'random'}
 PURE_LAYERS = {'tables', 'systems'}
@@ -41,6 +51,19 @@
             yield f'{path}:{line}: {layer} may not import {module}'
 
 
+def find_platform_names() -> Iterator[str]:
+    """Yield each use of a name of the platform outside its folder."""
+    package = ROOT / 'src' / PACKAGE
+    for path in sorted(package.rglob('*.py')):
+        if path.relative_to(package).parts[0] == PLATFORM:
+            continue
+        lines = path.read_text(encoding='utf-8').splitlines()
+        for number, line in enumerate(lines, start=1):
+            found = PLATFORM_NAMES.search(line)
+            if found is not None:
+                yield f"{path}:{number}: {found[0]} is the platform's name"
+
+
 def find_standin_faults() -> Iterator[str]:
     """Yield each import of the product by a stand-in."""
     for path in sorted((ROOT / 'standins').glob('*.py')):
@@ -59,6 +82,7 @@
         for fault in find_faults(path, layer)
     ]
     faults.extend(find_standin_faults())
+    faults.extend(find_platform_names())
     for fault in faults:
         print(fault)
     print(f'import layers: {len(faults)} faults')
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -6,8 +6,10 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 
 import httpx
 import yaml
@@ -18,6 +20,7 @@
 ROOT = Path(__file__).parent.parent
 PYTHON_PATH = os.pathsep.join((str(ROOT / 'src'), str(ROOT)))
 POLL_SECONDS = 0.05
+NO_ENVIRONMENT: Mapping[str, str] = MappingProxyType({})
 
 
 @dataclass(slots=True)
@@ -42,13 +45,18 @@
     return free_address(socket.SOCK_STREAM)
 
 
-def start(fleet: Fleet, name: str, *command: str) -> None:
+def start(
+    fleet: Fleet,
+    name: str,
+    *command: str,
+    environment: Mapping[str, str] = NO_ENVIRONMENT,
+) -> None:
     """Start a Python module as a process; its log goes to a file.
 
     A stand-in writes its results to standard output, which ``stop`` returns;
     a program of the product logs there.
     """
-    is_product = command[0] == 'mustardhold'
+    is_product = command[0].partition('.')[0] == 'mustardhold'
     log_path = fleet.folder / f'{name}.log'
     with log_path.open('a', encoding='utf-8') as log:
         fleet.processes_by_name[name] = subprocess.Popen(
@@ -56,7 +64,7 @@
             stdout=log if is_product else subprocess.PIPE,
             stderr=log,
             text=True,
-            env={**os.environ, 'PYTHONPATH': PYTHON_PATH},
+            env={**os.environ, 'PYTHONPATH': PYTHON_PATH, **environment},
         )
 
 
@@ -101,7 +109,8 @@
     except subprocess.TimeoutExpired:
         process.kill()
         output, _ = process.communicate()
-    return process.returncode, output
+    # A program of the product has its output in its log.
+    return process.returncode, output or ''
 
 
 def stop_all(fleet: Fleet) -> dict[str, tuple[int, str]]:
