--- a/src/mustardhold/daemons/configuration_pages.py
+++ b/src/mustardhold/daemons/configuration_pages.py
@@ -10,8 +10,7 @@
     AnyOutcome,
     ReplicaNode,
     WaitingEdit,
-    ending_on_fault,
-    follow_effects,
+    give_proposal,
 )
 from mustardhold.systems import consensus
 from mustardhold.systems.histograms import CONFIGURATION_SECONDS, observe
@@ -63,16 +62,12 @@
     node: ReplicaNode, document: VersionedDocument
 ) -> tuple[consensus.ProposedConfiguration, WaitingEdit]:
     """Give a configuration to the replica, and wait for its commit."""
-    with ending_on_fault(node):
-        proposed, effects = consensus.propose_configuration(
-            node.replica, node.clock.monotonic(), document
-        )
-        waiting = WaitingEdit(0)
-        if isinstance(proposed, Pending):
-            waiting.term = proposed.term
-            node.waiting_by_index[proposed.index] = waiting
-        follow_effects(node, effects)
-    return proposed, waiting
+    return give_proposal(
+        node,
+        lambda now: consensus.propose_configuration(
+            node.replica, now, document
+        ),
+    )
 
 
 async def forward(
--- a/src/mustardhold/daemons/control_edits.py
+++ b/src/mustardhold/daemons/control_edits.py
@@ -27,6 +27,7 @@
     WaitingEdit,
     ending_on_fault,
     follow_effects,
+    give_proposal,
 )
 from mustardhold.systems import consensus
 from mustardhold.systems.histograms import EDIT_SECONDS, observe
@@ -84,18 +85,11 @@
     node: ReplicaNode, edit: Edit
 ) -> tuple[consensus.Proposed, WaitingEdit]:
     """Give an edit to the replica, and wait for its place in the log."""
-    with ending_on_fault(node):
-        now = node.clock.monotonic()
-        taken_at = node.clock.now().timestamp()
-        proposed, effects = consensus.propose_edit(
-            node.replica, now, edit, taken_at
-        )
-        waiting = WaitingEdit(0)
-        if isinstance(proposed, Pending):
-            waiting.term = proposed.term
-            node.waiting_by_index[proposed.index] = waiting
-        follow_effects(node, effects)
-    return proposed, waiting
+    taken_at = node.clock.now().timestamp()
+    return give_proposal(
+        node,
+        lambda now: consensus.propose_edit(node.replica, now, edit, taken_at),
+    )
 
 
 def note_outcome(
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -24,6 +24,7 @@
     show_configuration,
     take_forwarded,
 )
+from mustardhold.daemons.decision_logs import log_report
 from mustardhold.daemons.directory_keeping import (
     keep_directory,
     restore_directory,
@@ -133,7 +134,7 @@
         MAX_REPLICAS,
         {replica.http_address for replica in options.replicas},
         None,
-        functools.partial(note_report, log),
+        functools.partial(log_report, log),
         lambda _: wake_feed(feed),
     )
     node.note_applied = functools.partial(wake_feed, feed)
@@ -145,22 +146,6 @@
     return tuple(member.http_address for member in node.replica.members)
 
 
-def note_report(log: logging.Logger, report: ServerReport) -> None:
-    """Log a change in what is believed of a server."""
-    if report.sequence > 1 and report.state is ServerState.READY:
-        return
-    log.info(
-        'server reported',
-        extra={
-            'server': report.server_id,
-            'incarnation': report.incarnation,
-            'sequence': report.sequence,
-            'state': report.state,
-            'address': report.address,
-        },
-    )
-
-
 async def announce(control: RegistryControl, report: ServerReport) -> bool:
     """Take a server's report.
 
@@ -174,7 +159,7 @@
     """
     clock = control.node.clock
     if take_report(control.directory, clock.monotonic(), report):
-        note_report(control.node.log, report)
+        log_report(control.node.log, report)
         wake_feed(control.feed)
     known = control.directory.servers_by_id.get(report.server_id)
     if known is None or report.state is ServerState.READY:
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TypeVar
 
 import trio
 
@@ -29,6 +30,7 @@
     Applied,
     AppliedEdit,
     Effects,
+    Pending,
     Replica,
     ReplicaMember,
     ReplicaMessage,
@@ -45,6 +47,7 @@
 )
 
 AnyOutcome = EditOutcome | RepeatedEdit
+Proposed = TypeVar('Proposed')
 
 
 @dataclass(slots=True)
@@ -200,6 +203,26 @@
         follow_effects(node, consensus.step(node.replica, now, message))
 
 
+def give_proposal(
+    node: ReplicaNode, propose: Callable[[float], tuple[Proposed, Effects]]
+) -> tuple[Proposed, WaitingEdit]:
+    """Propose something to the replica, and wait for its place in the log.
+
+    Parameters
+    ----------
+    propose
+        Takes the time; returns what came of it, and what has to follow.
+    """
+    with ending_on_fault(node):
+        proposed, effects = propose(node.clock.monotonic())
+        waiting = WaitingEdit(0)
+        if isinstance(proposed, Pending):
+            waiting.term = proposed.term
+            node.waiting_by_index[proposed.index] = waiting
+        follow_effects(node, effects)
+    return proposed, waiting
+
+
 def finish_edit(node: ReplicaNode, applied: Applied) -> None:
     """Hand the outcome of what was applied to whoever waits for it."""
     waiting = node.waiting_by_index.pop(applied.index, None)
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -2,7 +2,6 @@
 
 import functools
 import logging
-import math
 import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -13,6 +12,11 @@
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.http_app import HandlersByPath, make_app
 from mustardhold.adapters.http_server import serve_http
+from mustardhold.daemons.decision_logs import (
+    log_avoided,
+    log_decision,
+    log_report,
+)
 from mustardhold.daemons.faults import Faults, note_fault
 from mustardhold.daemons.feed_watch import (
     DocumentSink,
@@ -22,7 +26,6 @@
 from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.signals import stop_on_signal
-from mustardhold.systems.addresses import address_text
 from mustardhold.systems.directory import forget_servers
 from mustardhold.systems.histograms import (
     OPEN_SECONDS,
@@ -39,7 +42,7 @@
     VersionedDocument,
 )
 from mustardhold.tables.constants import FORWARD_AFTER_STOP, WATCHED_CONTROLS
-from mustardhold.tables.directory import KnownServer, ServerReport, ServerState
+from mustardhold.tables.directory import KnownServer, ServerState
 from mustardhold.tables.feed import FeedReply
 from mustardhold.tables.forwarding import (
     CallerPacket,
@@ -56,7 +59,6 @@
 from mustardhold.tables.routing import Finding
 
 FORGET_SECONDS = 5
-MILLISECONDS = 1000
 
 
 class Datagram(NamedTuple):
@@ -134,7 +136,7 @@
             functools.partial(version_of, tables),
             lambda document: take_configuration(balancer, document),
         ),
-        lambda report: note_report(balancer, report),
+        functools.partial(log_report, log),
         lambda reply: note_reply(balancer, reply),
     )
     balancer = TokenBalancer(
@@ -171,21 +173,6 @@
         )
 
 
-def note_report(balancer: TokenBalancer, report: ServerReport) -> None:
-    """Log a change in what is believed of a server."""
-    if report.sequence > 1 and report.state is ServerState.READY:
-        return
-    balancer.log.info(
-        'server known',
-        extra={
-            'server': report.server_id,
-            'incarnation': report.incarnation,
-            'sequence': report.sequence,
-            'state': report.state,
-        },
-    )
-
-
 def note_reply(balancer: TokenBalancer, reply: FeedReply) -> None:
     """Note that a control instance told that this balancer is up to date."""
     if reply.is_current and reply.version <= version_of(balancer.tables):
@@ -201,26 +188,17 @@
     now = balancer.clock.monotonic()
     decision = decide(balancer.tables, now, packet)
     follow_decision(balancer, raw, packet, decision)
-    note_news(balancer)
+    log_decision(balancer.log, balancer.tables, now, packet, decision)
+    log_avoided(balancer.log, balancer.tables)
+    observe_opened(balancer)
 
 
-def note_news(balancer: TokenBalancer) -> None:
-    """Observe the flows that opened, and log the servers now avoided."""
-    tables = balancer.tables
-    for opened in tables.opened:
+def observe_opened(balancer: TokenBalancer) -> None:
+    """Add the flows that have just opened to the histograms."""
+    for opened in balancer.tables.opened:
         key = (OPEN_SECONDS, opened.service, opened.kind)
         observe(balancer.histograms_by_key, key, opened.seconds)
-    tables.opened.clear()
-    for token in tables.avoided:
-        known = tables.directory.servers_by_token.get(token)
-        balancer.log.info(
-            'server avoided',
-            extra={
-                'server': known.report.server_id if known else '',
-                'unanswered': tables.answering_by_token[token].unanswered,
-            },
-        )
-    tables.avoided.clear()
+    balancer.tables.opened.clear()
 
 
 def follow_decision(
@@ -229,7 +207,7 @@
     packet: CallerPacket,
     decision: Decision,
 ) -> None:
-    """Send what was decided, count it and log it."""
+    """Send what was decided, and count it."""
     counters = balancer.tables.counters
     match decision:
         case Forward(servers, service):
@@ -238,60 +216,11 @@
             counters[
                 service, 'opened' if packet.is_opening else 'forwarded'
             ] += 1
-            if packet.is_opening:
-                log_opening(balancer, packet, servers)
         case Reset(cause):
             send(balancer, balancer.codecs.packets.reset(packet))
             counters['reset', cause] += 1
-            log_end(balancer, 'flow reset', packet, cause)
         case Drop(cause):
             counters['drop', cause] += 1
-            log_end(balancer, 'packet dropped', packet, cause)
-
-
-def log_opening(
-    balancer: TokenBalancer,
-    packet: CallerPacket,
-    servers: tuple[KnownServer, ...],
-) -> None:
-    """Log where an opening went."""
-    balancer.log.info(
-        'opening passed on',
-        extra={
-            **beliefs(balancer, packet),
-            'attempt': packet.attempt,
-            'servers': [known.report.server_id for known in servers],
-        },
-    )
-
-
-def log_end(
-    balancer: TokenBalancer,
-    message: str,
-    packet: CallerPacket,
-    cause: DropCause,
-) -> None:
-    """Log that a packet did not go on, and why."""
-    balancer.log.info(
-        message,
-        extra={
-            **beliefs(balancer, packet),
-            'attempt': packet.attempt,
-            'token': packet.token,
-            'cause': cause,
-        },
-    )
-
-
-def beliefs(balancer: TokenBalancer, packet: CallerPacket) -> dict[str, Any]:
-    """Name a flow, and what the balancer decides by."""
-    age = balancer.clock.monotonic() - balancer.tables.fed_at
-    return {
-        'flow': f'{address_text(packet.caller)}>'
-        f'{address_text(packet.service_address)}',
-        'version': version_of(balancer.tables),
-        'fed_ms_ago': round(age * MILLISECONDS) if math.isfinite(age) else None,
-    }
 
 
 def send(balancer: TokenBalancer, datagram: Datagram) -> None:
--- a/src/mustardhold/systems/tracing.py
+++ b/src/mustardhold/systems/tracing.py
@@ -15,7 +15,7 @@
 HEAD_FIELDS = frozenset(
     ('asctime', 'levelname', 'name', 'message', 'program', 'instance')
 )
-SERVER_MESSAGES = frozenset(('server known', 'server reported'))
+SERVER_MESSAGE = 'server known'
 INSTANCE_MESSAGES = frozenset(
     (
         'balancer started',
@@ -95,12 +95,18 @@
         return True
     if subject == line.details.get('server'):
         return True
-    if subject in line.details.get('servers', ()):
+    if subject in servers_named(line):
         return True
     is_version = subject.isdigit() and 'flow' not in line.details
     return is_version and line.details.get('version') == int(subject)
 
 
+def servers_named(line: LogLine) -> list[str]:
+    """Return the servers that a line names; some lines only count them."""
+    named = line.details.get('servers')
+    return named if isinstance(named, list) else []
+
+
 def is_caller(flow: str, subject: str) -> bool:
     """Tell whether a flow is of a caller, given with or without its port."""
     caller = flow.partition('>')[0]
@@ -121,11 +127,7 @@
     if not own:
         return
     begin, end = own[0].at - window, own[-1].at + window
-    servers = {
-        name
-        for line in own
-        for name in (*line.details.get('servers', ()), subject)
-    }
+    servers = {name for line in own for name in (*servers_named(line), subject)}
     instances = {line.instance for line in own}
     chosen = {id(line) for line in own}
     for line in lines:
@@ -138,6 +140,6 @@
 
 def is_belief(line: LogLine, servers: set[str], instances: set[str]) -> bool:
     """Tell whether a line says what the deciding instances believed."""
-    if line.message in SERVER_MESSAGES:
+    if line.message == SERVER_MESSAGE:
         return line.details.get('server') in servers
     return line.message in INSTANCE_MESSAGES and line.instance in instances
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -29,7 +29,10 @@
     line(6, 'b1', 'flow reset', flow=FLOW, cause='flow-ended'),
     line(40, 'b1', 'control reached', address='10.0.0.1:1'),
 ]
-CONTROL = [line(5, 'c1', 'server reported', server='i-a1', state='ended')]
+CONTROL = [
+    line(0, 'c1', 'directory restored', servers=3),
+    line(5, 'c1', 'server known', server='i-a1', state='ended'),
+]
 
 
 @pytest.fixture
@@ -51,7 +54,7 @@
         'b1 server known server=i-a1 state=ready',
         f"b1 opening passed on flow={FLOW} servers=['i-a1', 'i-b2']",
         'b1 control lost address=10.0.0.1:1',
-        'c1 server reported server=i-a1 state=ended',
+        'c1 server known server=i-a1 state=ended',
         f'b1 flow reset flow={FLOW} cause=flow-ended',
     ]
     assert '2 lines are no log lines' in shown.err
