Share twins of the two daemons, and wake polls only for urgent changes

Cause, found by reading the whole change: forget_on, its interval and the type of a task stood in both daemons; the HTTP server and client each had the check whether a connection carries another request. Control woke every waiting poll at each repeated report and each reply of a peer, though a poll answers early only on an urgent change or a newer version, so all of them woke for nothing.

Ruled out: a change of what a poll answers; has_news is as it was, and a poll that arrives after an urgent change is answered at once as before.

The saving was not measured.

--- a/src/mustardhold/adapters/http_client.py
+++ b/src/mustardhold/adapters/http_client.py
@@ -6,6 +6,7 @@
 import h11
 import trio
 
+from mustardhold.adapters.http_cycle import is_reusable
 from mustardhold.adapters.tcp import READ_BYTES, set_tcp_options
 from mustardhold.systems.addresses import split_address
 from mustardhold.tables.constants import MAX_HTTP_ANSWER_BYTES, MAX_IDLE_LINKS
@@ -220,15 +221,6 @@
             raise h11.RemoteProtocolError('the answer ended early')
 
 
-def is_reusable(protocol: h11.Connection) -> bool:
-    """Tell whether a connection can carry another request."""
-    states = (protocol.our_state, protocol.their_state)
-    if states != (h11.DONE, h11.DONE):
-        return False
-    protocol.start_next_cycle()
-    return True
-
-
 def keep_link(client: HttpClient, address: str, link: Link) -> None:
     """Keep a connection for the next request, within a limit."""
     idle = client.idle_by_address.setdefault(address, [])
--- a/src/mustardhold/adapters/http_server.py
+++ b/src/mustardhold/adapters/http_server.py
@@ -9,6 +9,7 @@
 import trio
 
 from mustardhold.adapters.http_app import Application
+from mustardhold.adapters.http_cycle import is_reusable
 from mustardhold.adapters.tcp import READ_BYTES, set_tcp_options
 from mustardhold.systems.addresses import split_address
 from mustardhold.tables.constants import (
@@ -100,12 +101,7 @@
         await skip_body(stream, connection)
     except h11.ProtocolError:
         return False
-    if connection.our_state is not h11.DONE:
-        return False
-    if connection.their_state is not h11.DONE:
-        return False
-    connection.start_next_cycle()
-    return True
+    return is_reusable(connection)
 
 
 async def next_event(
--- a/src/mustardhold/daemons/directory_keeping.py
+++ b/src/mustardhold/daemons/directory_keeping.py
@@ -1,14 +1,17 @@
-"""Saves the directory of backend servers as it changes."""
+"""Keeps a directory: saves it as it changes, and forgets what is long gone."""
 
 import trio
 
+from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.directory_store import load_reports, save_reports
 from mustardhold.adapters.disk import Disk
 from mustardhold.daemons.faults import Faults, note_fault
-from mustardhold.systems.directory import take_report
+from mustardhold.systems.directory import forget_servers, take_report
 from mustardhold.tables.constants import KEEPING_INTERVAL, KEPT_REPORT_AGE
 from mustardhold.tables.directory import Directory
 
+FORGET_SECONDS = 5
+
 
 def restore_directory(disk: Disk, directory: Directory, now: float) -> int:
     """Fill a new directory with what was kept.
@@ -49,3 +52,10 @@
             )
         except OSError as error:
             note_fault(faults, 'directory-not-kept', error)
+
+
+async def forget_on(directory: Directory, clock: Clock) -> None:
+    """Forget servers that are long gone, from time to time."""
+    while True:
+        await trio.sleep(FORGET_SECONDS)
+        forget_servers(directory, clock.monotonic())
--- a/src/mustardhold/daemons/feed_pages.py
+++ b/src/mustardhold/daemons/feed_pages.py
@@ -35,6 +35,8 @@
         Set, and replaced, at each change and each poll.
     packed
         The configuration as it was last sent.
+    woken_revision
+        Urgent revision of the directory at the last wake-up for servers.
     """
 
     run_id: str
@@ -47,6 +49,7 @@
     changed: trio.Event = field(default_factory=trio.Event)
     asked: trio.Event = field(default_factory=trio.Event)
     packed: VersionedDocument = NO_DOCUMENT
+    woken_revision: int = 0
 
 
 def wake_feed(feed: Feed) -> None:
@@ -55,6 +58,13 @@
     feed.changed = trio.Event()
 
 
+def wake_if_urgent(feed: Feed) -> None:
+    """Answer everyone who waits, if the directory changed urgently since."""
+    if feed.directory.urgent_revision > feed.woken_revision:
+        feed.woken_revision = feed.directory.urgent_revision
+        wake_feed(feed)
+
+
 async def show_feed(feed: Feed, ask: Ask) -> Reply:
     """Answer with what changed, at once or when the poll has lasted."""
     wanted = _ask_decoder.decode(ask.body)
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -7,9 +7,9 @@
 import functools
 import logging
 import random
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import trio
 
@@ -26,6 +26,7 @@
 )
 from mustardhold.daemons.decision_logs import log_report
 from mustardhold.daemons.directory_keeping import (
+    forget_on,
     keep_directory,
     restore_directory,
 )
@@ -36,6 +37,7 @@
     show_feed,
     wait_merged,
     wake_feed,
+    wake_if_urgent,
 )
 from mustardhold.daemons.feed_watch import (
     DOCUMENT_PAGE,
@@ -52,10 +54,10 @@
     run_replica,
 )
 from mustardhold.daemons.replica_pages import take_message
-from mustardhold.daemons.signals import stop_on_signal
+from mustardhold.daemons.signals import AsyncTask, stop_on_signal
 from mustardhold.systems import consensus
 from mustardhold.systems.control_gauges import control_gauges
-from mustardhold.systems.directory import forget_servers, take_report
+from mustardhold.systems.directory import take_report
 from mustardhold.systems.election import majority
 from mustardhold.systems.histograms import (
     REPORT_SECONDS,
@@ -75,7 +77,6 @@
 from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import ControlOptions, GrowthPolicy
 
-FORGET_SECONDS = 5
 RUN_ID_BITS = 64
 
 
@@ -103,9 +104,6 @@
     metrics: str
 
 
-Task = Callable[[], Coroutine[Any, Any, None]]
-
-
 def make_control(
     options: ControlOptions,
     growth: GrowthPolicy,
@@ -135,7 +133,7 @@
         {replica.http_address for replica in options.replicas},
         None,
         functools.partial(log_report, log),
-        lambda _: wake_feed(feed),
+        lambda _: wake_if_urgent(feed),
     )
     node.note_applied = functools.partial(wake_feed, feed)
     return RegistryControl(node, directory, feed, watch)
@@ -160,7 +158,7 @@
     clock = control.node.clock
     if take_report(control.directory, clock.monotonic(), report):
         log_report(control.node.log, report)
-        wake_feed(control.feed)
+        wake_if_urgent(control.feed)
     known = control.directory.servers_by_id.get(report.server_id)
     if known is None or report.state is ServerState.READY:
         return True
@@ -217,18 +215,11 @@
     )
 
 
-async def forget_on(control: RegistryControl) -> None:
-    """Forget servers that are long gone, from time to time."""
-    while True:
-        await trio.sleep(FORGET_SECONDS)
-        forget_servers(control.directory, control.node.clock.monotonic())
-
-
 async def run_registry_control(
     control: RegistryControl,
     pages: PublicPages,
     addresses: ServedAddresses,
-    watch_settings: Task,
+    watch_settings: AsyncTask,
 ) -> None:
     """Run a control instance until it is told to stop.
 
@@ -257,7 +248,7 @@
         nursery.start_soon(stop_on_signal, node.stopping)
         nursery.start_soon(run_replica, node)
         nursery.start_soon(run_watch, control.watch)
-        nursery.start_soon(forget_on, control)
+        nursery.start_soon(forget_on, control.directory, node.clock)
         nursery.start_soon(
             keep_directory, node.disk, control.directory, node.faults
         )
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -3,9 +3,9 @@
 import functools
 import logging
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import trio
 
@@ -17,6 +17,7 @@
     log_decision,
     log_report,
 )
+from mustardhold.daemons.directory_keeping import forget_on
 from mustardhold.daemons.faults import Faults, note_fault
 from mustardhold.daemons.feed_watch import (
     DocumentSink,
@@ -25,8 +26,7 @@
 )
 from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
-from mustardhold.daemons.signals import stop_on_signal
-from mustardhold.systems.directory import forget_servers
+from mustardhold.daemons.signals import AsyncTask, stop_on_signal
 from mustardhold.systems.histograms import (
     OPEN_SECONDS,
     HistogramsByKey,
@@ -58,8 +58,6 @@
 from mustardhold.tables.outcomes import Err, Outcome
 from mustardhold.tables.routing import Finding
 
-FORGET_SECONDS = 5
-
 
 class Datagram(NamedTuple):
     """What to send where."""
@@ -113,9 +111,6 @@
     histograms_by_key: HistogramsByKey = field(default_factory=dict)
 
 
-Task = Callable[[], Coroutine[Any, Any, None]]
-
-
 def make_token_balancer(
     options: TokenBalancerOptions,
     codecs: Codecs,
@@ -260,15 +255,8 @@
     left.set()
 
 
-async def forget_on(balancer: TokenBalancer) -> None:
-    """Forget servers that are long gone, from time to time."""
-    while True:
-        await trio.sleep(FORGET_SECONDS)
-        forget_servers(balancer.tables.directory, balancer.clock.monotonic())
-
-
 async def run_token_balancer(
-    balancer: TokenBalancer, pages: HandlersByPath, watch_settings: Task
+    balancer: TokenBalancer, pages: HandlersByPath, watch_settings: AsyncTask
 ) -> None:
     """Run a balancer until it is told to stop.
 
@@ -297,7 +285,7 @@
             lambda _: None,
         )
         nursery.start_soon(run_watch, balancer.watch)
-        nursery.start_soon(forget_on, balancer)
+        nursery.start_soon(forget_on, balancer.tables.directory, balancer.clock)
         nursery.start_soon(watch_settings)
         nursery.start_soon(
             serve_metrics,
--- a/src/mustardhold/platform/packets.py
+++ b/src/mustardhold/platform/packets.py
@@ -20,7 +20,6 @@
 KNOWN_FLAGS = FIN | RST | SYN | ACK
 SERVER_NUMBER = struct.Struct('!Q')
 TOKEN = struct.Struct('!I')
-HEX_DIGITS = frozenset('0123456789abcdef')
 
 
 class WireHead(NamedTuple):
