Pass the packets of a restarted server's earlier incarnation on to it

Every balancer that has heard of the restart then took the token for one of a server that had certainly ended, and reset the flow.

Change: packets with a token of an earlier incarnation go to the newest one of the same id, which ends the flows that it does not hold; they are reset only once that one has ended too. The test of 'restarted' in the list of certain ends was wrong: the end of the incarnation is certain, that its token names no open flow is not.

--- a/src/mustardhold/systems/directory.py
+++ b/src/mustardhold/systems/directory.py
@@ -173,11 +173,22 @@
             yield row.report
 
 
-def is_ended(directory: Directory, known: KnownServer) -> bool:
-    """Tell whether an incarnation has certainly ended."""
-    if known.report.state is ServerState.ENDED:
-        return True
-    return directory.servers_by_id.get(known.report.server_id) is not known
+def successor(directory: Directory, known: KnownServer) -> KnownServer | None:
+    """Return who may hold the flows of an incarnation.
+
+    A server that started again may hold flows that were opened with the
+    token of its earlier incarnation, by a balancer that had not heard of the
+    restart; it ends the others itself.
+
+    Returns
+    -------
+    KnownServer or None
+        The newest incarnation of its id; none once that has certainly ended.
+    """
+    newest = directory.servers_by_id.get(known.report.server_id)
+    if newest is None or newest.report.state is ServerState.ENDED:
+        return None
+    return newest
 
 
 def forget_servers(directory: Directory, now: float) -> None:
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -11,7 +11,7 @@
     note_answer,
     note_opening,
 )
-from mustardhold.systems.directory import is_ended, owns_token
+from mustardhold.systems.directory import owns_token, successor
 from mustardhold.tables.configurations import Configuration, ServiceRoute
 from mustardhold.tables.constants import (
     COLD_WEIGHT,
@@ -78,10 +78,11 @@
     known = tables.directory.servers_by_token.get(packet.token)
     if known is None:
         return Drop(DropCause.UNKNOWN_TOKEN)
-    if is_ended(tables.directory, known):
+    holder = successor(tables.directory, known)
+    if holder is None:
         return end_flow(packet, DropCause.FLOW_ENDED)
     note_answer(tables, now, flow_key(packet), known)
-    return Forward((known,), known.report.service)
+    return Forward((holder,), holder.report.service)
 
 
 def decide_opening(
