Refuse a configuration with bytes that are no text, in place of failing

Change: such bytes are a finding, so 4xx; integers stay text in this search, as nothing reads them, so their length doesn't matter.

Measured: four cases of extra fields, of which two failed before; unit tests of the codecs pass.

--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -121,7 +121,11 @@
             if count > 1
         )
 
-    json.loads(raw, object_pairs_hook=note_pairs)
+    try:
+        # Numbers stay text: nothing here reads them, however long they are.
+        json.loads(raw, object_pairs_hook=note_pairs, parse_int=str)
+    except ValueError as error:
+        return (Finding('body', str(error)),)
     return tuple(doubled)
 
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -56,6 +56,26 @@
     return json.dumps({**base, **changes}).encode()
 
 
+def with_extra(text):
+    """Add a field that means nothing, with any bytes, to a right body."""
+    return body(route())[:-1] + b', "extra": ' + text + b'}'
+
+
+@pytest.mark.parametrize(
+    ('extra', 'is_read'),
+    [
+        (b'"\xff"', False),
+        (b'9' * 5_000, True),
+        (b'1e999999', True),
+        (b'[' * 100_000, False),
+    ],
+    ids=['not-utf-8', 'long-number', 'large-number', 'deep'],
+)
+def test_fields_that_mean_nothing_are_refused_or_ignored(extra, is_read):
+    read = read_body(with_extra(extra))
+    assert isinstance(read, Ok if is_read else Err)
+
+
 def report(**changes):
     base = {
         'service': 'orders',
