Ignore a reload that comes while a program is still being imported

Ruled out: an exception (nothing on standard error); SIGKILL or SIGTERM of the soak, after which it starts the program again.

Change: python -m mustardhold.platform PROGRAM ignores SIGHUP, then imports the program; the settings are read after that, so the reload loses nothing. Some 15 ms of the interpreter's own start remain.

Measured: the new test raises SIGHUP in the place of the import and ended the test run without the change; layers, types, linters pass.

--- /dev/null
+++ b/src/mustardhold/platform/__main__.py
@@ -0,0 +1,33 @@
+"""Starts a program: ``python -m mustardhold.platform balancer|control``."""
+
+import importlib
+import signal
+import sys
+from collections.abc import Sequence
+
+PROGRAMS = ('balancer', 'control')
+EXIT_USAGE = 2
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the program that the only argument names.
+
+    A reload that comes while the program is still being imported, for some
+    tenths of a second, must not end it: the settings are read after that.
+
+    Returns
+    -------
+    int
+        The exit code of the program, or 2 if there is no such program.
+    """
+    if len(arguments) != 1 or arguments[0] not in PROGRAMS:
+        sys.stderr.write(f'name one program: {", ".join(PROGRAMS)}\n')
+        return EXIT_USAGE
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    program = importlib.import_module(f'mustardhold.platform.{arguments[0]}')
+    exit_code: int = program.run()
+    return exit_code
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/src/mustardhold/platform/balancer.py
+++ b/src/mustardhold/platform/balancer.py
@@ -1,7 +1,6 @@
-"""The balancer on the platform: ``python -m mustardhold.platform.balancer``."""
+"""The balancer on the platform."""
 
 import functools
-import sys
 from http import HTTPStatus
 from logging import Logger
 
@@ -48,5 +47,6 @@
     )
 
 
-if __name__ == '__main__':
-    sys.exit(run_program('balancer', run_balancer))
+def run() -> int:
+    """Run the program until it is stopped; return its exit code."""
+    return run_program('balancer', run_balancer)
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -1,7 +1,6 @@
-"""A control instance: ``python -m mustardhold.platform.control``."""
+"""A control instance on the platform."""
 
 import functools
-import sys
 from http import HTTPStatus
 from logging import Logger
 
@@ -132,5 +131,6 @@
     )
 
 
-if __name__ == '__main__':
-    sys.exit(run_program('control', run_control))
+def run() -> int:
+    """Run the program until it is stopped; return its exit code."""
+    return run_program('control', run_control)
--- /dev/null
+++ b/tests/test_platform_start.py
@@ -0,0 +1,47 @@
+"""How the programs of the platform start."""
+
+import importlib
+import signal
+import types
+
+import pytest
+
+from mustardhold.platform.__main__ import EXIT_USAGE, main
+
+
+@pytest.fixture
+def restored_signals():
+    before = signal.getsignal(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
+@pytest.mark.parametrize('program', ['balancer', 'control'])
+def test_a_reload_during_the_imports_ends_nothing(
+    monkeypatch, restored_signals, program
+):
+    seen = []
+
+    def import_slowly(name):
+        signal.raise_signal(signal.SIGHUP)
+        seen.append(name)
+        return types.SimpleNamespace(run=lambda: 0)
+
+    monkeypatch.setattr(importlib, 'import_module', import_slowly)
+    assert main([program]) == 0
+    assert seen == [f'mustardhold.platform.{program}']
+
+
+@pytest.mark.parametrize(
+    'arguments', [[], ['elephant'], ['balancer', 'control']], ids=str
+)
+def test_an_unknown_program_is_refused(capsys, arguments):
+    assert main(arguments) == EXIT_USAGE
+    assert 'balancer, control' in capsys.readouterr().err
+
+
+@pytest.mark.parametrize('program', ['balancer', 'control'])
+def test_programs_can_be_run(program):
+    module = importlib.import_module(f'mustardhold.platform.{program}')
+    assert callable(module.run)
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -144,7 +144,8 @@
     start(
         world.fleet,
         name,
-        f'mustardhold.platform.{kind}',
+        'mustardhold.platform',
+        kind,
         environment={'MUSTARDHOLD_NODE_FILE': str(path)},
     )
     world.down.discard(name)
