--- a/src/mustardhold/systems/election.py
+++ b/src/mustardhold/systems/election.py
@@ -14,6 +14,7 @@
     VoteRequest,
 )
 from mustardhold.tables.constants import (
+    ELECTION_RETRY,
     LEADER_LEASE,
     MAX_ELECTION_TIMEOUT,
     MIN_ELECTION_TIMEOUT,
@@ -55,6 +56,15 @@
     replica.election_at = now + MIN_TIMEOUT + spread
 
 
+def retry_election(replica: Replica, now: float) -> None:
+    """Choose at random when to stand again, should the votes be split.
+
+    Nobody leads then, so it is sooner than the first time.
+    """
+    wait = ELECTION_RETRY.total_seconds()
+    replica.election_at = now + wait * (1 + replica.random())
+
+
 def quorum_heard_at(replica: Replica, now: float) -> float:
     """Find since when a majority of the voters has been silent."""
     times = sorted(
@@ -130,6 +140,7 @@
     replica.role = Role.CANDIDATE
     replica.granted = {replica.me.uid}
     replica.counters['election', 'started'] += 1
+    retry_election(replica, now)
     if majority(replica) == 1:
         lead(replica, now, effects)
         return
