Cut the log at 256 KiB, and import less in control

Control also imported the forwarding of packets, for one log line, and uuid, for one random name.

Change: the log is cut at 256 KiB, 64 KiB of entries stay. Lines about servers have a module of their own.

--- a/src/mustardhold/daemons/decision_logs.py
+++ b/src/mustardhold/daemons/decision_logs.py
@@ -1,4 +1,4 @@
-"""Log lines about decisions on packets, and about beliefs behind them."""
+"""Log lines about decisions on packets."""
 
 import logging
 import math
@@ -6,7 +6,6 @@
 
 from mustardhold.systems.addresses import address_text
 from mustardhold.systems.token_forwarding import version_of
-from mustardhold.tables.directory import ServerReport, ServerState
 from mustardhold.tables.forwarding import (
     CallerPacket,
     Decision,
@@ -19,22 +18,6 @@
 MILLISECONDS = 1000
 
 
-def log_report(log: logging.Logger, report: ServerReport) -> None:
-    """Log a new belief about a server; its repeated reports tell nothing."""
-    if report.sequence > 1 and report.state is ServerState.READY:
-        return
-    log.info(
-        'server known',
-        extra={
-            'server': report.server_id,
-            'incarnation': report.incarnation,
-            'sequence': report.sequence,
-            'state': report.state,
-            'address': report.address,
-        },
-    )
-
-
 def log_decision(
     log: logging.Logger,
     tables: ForwardingTables,
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -1,8 +1,8 @@
 """One control replica with its disk, its links and its waiting edits."""
 
 import logging
+import os
 import random
-import uuid
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
@@ -46,6 +46,8 @@
     Unknown,
 )
 
+UID_BYTES = 16
+
 AnyOutcome = EditOutcome | RepeatedEdit
 Proposed = TypeVar('Proposed')
 
@@ -108,7 +110,8 @@
     """
     disk = open_folder(Path(options.folder))
     instance_id = options.instance_id
-    identity = open_identity(disk, instance_id, f'{instance_id}/{uuid.uuid4()}')
+    new_uid = f'{instance_id}/{os.urandom(UID_BYTES).hex()}'
+    identity = open_identity(disk, instance_id, new_uid)
     store, saved = open_store(disk)
     me = ReplicaMember(
         identity.uid,
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -15,7 +15,6 @@
 from mustardhold.daemons.decision_logs import (
     log_avoided,
     log_decision,
-    log_report,
 )
 from mustardhold.daemons.directory_keeping import forget_on
 from mustardhold.daemons.faults import Faults, note_fault
@@ -26,6 +25,7 @@
 )
 from mustardhold.daemons.metrics_page import Measured, serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
+from mustardhold.daemons.report_logs import log_report
 from mustardhold.daemons.signals import AsyncTask, stop_on_signal
 from mustardhold.systems.histograms import (
     OPEN_SECONDS,
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -69,9 +69,9 @@
 MAX_REPLICAS: Final = 24
 MAX_BYTES_PER_MESSAGE: Final = 262_144
 SNAPSHOT_ENTRIES: Final = 1_000
-SNAPSHOT_BYTES: Final = 1_048_576
+SNAPSHOT_BYTES: Final = 262_144
 KEPT_ENTRIES: Final = 200
-KEPT_BYTES: Final = 262_144
+KEPT_BYTES: Final = 65_536
 HEARTBEAT: Final = timedelta(milliseconds=200)
 MIN_ELECTION_TIMEOUT: Final = timedelta(milliseconds=1_000)
 MAX_ELECTION_TIMEOUT: Final = timedelta(milliseconds=2_000)
