Introduce a replica to those that changed settings name

In the proof the settings never changed, which the platform's pages do not do: a newcomer is told addresses that lag by 3 s. But in the product too a reload reached only the watch of the feed, not the replica that looks for its group.

Change: a reload names the replica's peers, unless it may still found a group.

Measured: a test for newcomer, member, founder and a group without growth.

--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -24,7 +24,7 @@
     show_configuration,
     take_forwarded,
 )
-from mustardhold.daemons.decision_logs import log_report
+from mustardhold.daemons.control_contacts import control_addresses
 from mustardhold.daemons.directory_keeping import (
     forget_on,
     keep_directory,
@@ -45,7 +45,8 @@
     FeedWatch,
     run_watch,
 )
-from mustardhold.daemons.metrics_page import Measured, serve_metrics
+from mustardhold.daemons.metrics_page import serve_metrics
+from mustardhold.daemons.registry_measures import measure
 from mustardhold.daemons.replica_links import REPLICA_PAGE, Links
 from mustardhold.daemons.replica_node import (
     ReplicaNode,
@@ -54,9 +55,9 @@
     run_replica,
 )
 from mustardhold.daemons.replica_pages import take_message
+from mustardhold.daemons.report_logs import log_report
 from mustardhold.daemons.signals import AsyncTask, stop_on_signal
 from mustardhold.systems import consensus
-from mustardhold.systems.control_gauges import control_gauges
 from mustardhold.systems.directory import take_report
 from mustardhold.systems.election import majority
 from mustardhold.systems.histograms import (
@@ -74,7 +75,6 @@
     ServerReport,
     ServerState,
 )
-from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import ControlOptions, GrowthPolicy
 
 RUN_ID_BITS = 64
@@ -139,11 +139,6 @@
     return RegistryControl(node, directory, feed, watch)
 
 
-def control_addresses(node: ReplicaNode) -> tuple[str, ...]:
-    """Return the internal addresses of all control instances."""
-    return tuple(member.http_address for member in node.replica.members)
-
-
 async def announce(control: RegistryControl, report: ServerReport) -> bool:
     """Take a server's report.
 
@@ -192,29 +187,6 @@
     }
 
 
-def measure(control: RegistryControl) -> Measured:
-    """Collect what the instance has counted and measured."""
-    node = control.node
-    gauges = (
-        *control_gauges(node.replica, node.clock.monotonic()),
-        Gauge(
-            'configuration_version',
-            'Version in force',
-            node.replica.configuration.version,
-        ),
-        Gauge(
-            'known_servers',
-            'Servers in the directory',
-            len(control.directory.servers_by_id),
-        ),
-    )
-    return Measured(
-        dict(node.replica.counters),
-        node.observations.histograms_by_key,
-        gauges,
-    )
-
-
 async def run_registry_control(
     control: RegistryControl,
     pages: PublicPages,
@@ -267,7 +239,7 @@
             serving.start_soon(
                 serve_metrics,
                 addresses.metrics,
-                functools.partial(measure, control),
+                functools.partial(measure, node, control.directory),
                 node.stopping,
             )
         node.log.info('control stopped')
--- /dev/null
+++ b/src/mustardhold/daemons/registry_measures.py
@@ -0,0 +1,29 @@
+"""What a control instance of a fleet with tokens has counted and measured."""
+
+from mustardhold.daemons.metrics_page import Measured
+from mustardhold.daemons.replica_node import ReplicaNode
+from mustardhold.systems.control_gauges import control_gauges
+from mustardhold.tables.directory import Directory
+from mustardhold.tables.gauges import Gauge
+
+
+def measure(node: ReplicaNode, directory: Directory) -> Measured:
+    """Collect counters, histograms and gauges."""
+    gauges = (
+        *control_gauges(node.replica, node.clock.monotonic()),
+        Gauge(
+            'configuration_version',
+            'Version in force',
+            node.replica.configuration.version,
+        ),
+        Gauge(
+            'known_servers',
+            'Servers in the directory',
+            len(directory.servers_by_id),
+        ),
+    )
+    return Measured(
+        dict(node.replica.counters),
+        node.observations.histograms_by_key,
+        gauges,
+    )
--- a/src/mustardhold/platform/balancer.py
+++ b/src/mustardhold/platform/balancer.py
@@ -43,7 +43,9 @@
     await run_token_balancer(
         balancer,
         make_pages(balancer),
-        lambda: follow_settings(balancer.watch, settings),
+        functools.partial(
+            follow_settings, settings, log, balancer.watch.contacts.update
+        ),
     )
 
 
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -17,6 +17,7 @@
     read_configuration,
     replace_configuration,
 )
+from mustardhold.daemons.control_contacts import take_addresses
 from mustardhold.daemons.registry_control import (
     PublicPages,
     RegistryControl,
@@ -128,7 +129,12 @@
         ServedAddresses(
             settings.bind_addresses.control_plane, metrics_address(settings)
         ),
-        lambda: follow_settings(control.watch, settings),
+        functools.partial(
+            follow_settings,
+            settings,
+            log,
+            functools.partial(take_addresses, control.node, control.watch),
+        ),
     )
 
 
--- a/src/mustardhold/platform/starting.py
+++ b/src/mustardhold/platform/starting.py
@@ -8,7 +8,6 @@
 import trio
 
 from mustardhold.adapters.logs import start_logs
-from mustardhold.daemons.feed_watch import FeedWatch
 from mustardhold.platform.settings import (
     NodeSettings,
     control_addresses,
@@ -41,21 +40,29 @@
     return EXIT_OK
 
 
-async def follow_settings(watch: FeedWatch, settings: NodeSettings) -> None:
-    """Take over the control instances that changed settings name."""
+async def follow_settings(
+    settings: NodeSettings,
+    log: Logger,
+    take_addresses: Callable[[tuple[str, ...]], None],
+) -> None:
+    """Take over the control instances that changed settings name.
+
+    Parameters
+    ----------
+    take_addresses
+        Learns the internal addresses of the instances that are named.
+    """
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
         while True:
             with trio.move_on_after(SETTINGS_CHECK_SECONDS):
                 await anext(aiter(signals))
             loaded = load_settings()
             if isinstance(loaded, Err):
-                watch.log.error(
+                log.error(
                     'settings unreadable, the earlier ones hold',
                     extra={'error': loaded.error},
                 )
             elif loaded.value != settings:
                 settings = loaded.value
-                watch.contacts.update(control_addresses(settings))
-                watch.log.info(
-                    'settings reloaded', extra={'seeds': settings.seeds}
-                )
+                take_addresses(control_addresses(settings))
+                log.info('settings reloaded', extra={'seeds': settings.seeds})
--- a/src/mustardhold/systems/replica_membership.py
+++ b/src/mustardhold/systems/replica_membership.py
@@ -1,5 +1,7 @@
 """Forms the group of replicas, and replaces one voter at a time."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from mustardhold.systems.election import (
@@ -93,6 +95,20 @@
     )
 
 
+def name_peers(replica: Replica, addresses: Iterable[str]) -> None:
+    """Take over the replicas that changed settings name.
+
+    Whoever may still found a group keeps those that all founders were told.
+    """
+    if replica.growth is None:
+        return
+    if replica.growth.may_form and not is_formed(replica):
+        return
+    replica.peers = tuple(
+        ReplicaMember('', address, address) for address in addresses
+    )
+
+
 def take_hello(
     replica: Replica, now: float, hello: Hello, effects: Effects
 ) -> None:
--- /dev/null
+++ b/tests/test_replica_peers.py
@@ -0,0 +1,38 @@
+"""Whom a replica introduces itself to once its settings have changed."""
+
+import random
+
+import pytest
+
+from mustardhold.systems import consensus
+from mustardhold.systems.replica_membership import known_peers, name_peers
+from mustardhold.tables.consensus import ReplicaMember, Vote
+from mustardhold.tables.options import GrowthPolicy
+
+
+def replica_of(growth, *, is_formed):
+    peers = tuple(ReplicaMember('', name, name) for name in ('c1', 'c2'))
+    me = ReplicaMember('c9/1', 'c9', 'c9')
+    replica = consensus.make_replica(me, peers, random.Random(1).random, 0)
+    replica.growth = growth
+    if is_formed:
+        replica.vote = Vote(3)
+    return replica
+
+
+@pytest.mark.parametrize(
+    ('growth', 'is_formed', 'named'),
+    [
+        (GrowthPolicy(3, may_form=False), False, {'c7', 'c8'}),
+        (GrowthPolicy(3, may_form=True), True, {'c7', 'c8'}),
+        # Founders have to agree on who they are.
+        (GrowthPolicy(3, may_form=True), False, {'c1', 'c2'}),
+        # A group that an operator changes keeps to its settings.
+        (None, False, {'c1', 'c2'}),
+    ],
+    ids=['newcomer', 'member', 'founder', 'no-growth'],
+)
+def test_changed_settings_name_whom_a_newcomer_tells(growth, is_formed, named):
+    replica = replica_of(growth, is_formed=is_formed)
+    name_peers(replica, ('c7', 'c8'))
+    assert {peer.instance_id for peer in known_peers(replica)} == named
--- a/tools/proofs/configurations.py
+++ b/tools/proofs/configurations.py
@@ -39,6 +39,7 @@
 DOWN_SECONDS = 1.0
 # A loss counts until its replica was back for this long.
 CATCH_UP_SECONDS = 4.0
+SEED_LAG_SECONDS = 3.0
 FAULT_SECONDS = DOWN_SECONDS + CATCH_UP_SECONDS
 ROUNDS = 6
 # Some ten of them make a log that is cut.
@@ -183,14 +184,25 @@
 
 
 def replace_one(group: Group, name: str) -> None:
-    """End a process for good; an empty one comes at another address."""
+    """End a process for good; an empty one comes at another address.
+
+    The settings of whoever starts later name it in the other's place.
+    """
     is_syncing = group.nodes_by_name[name].disk.is_syncing
+    successor = f'{name}n'
+
+    def rename() -> None:
+        group.seeds = tuple(
+            successor if seed == name else seed for seed in group.seeds
+        )
+
     kill(group, name)
     schedule(
         group.queue,
         DOWN_SECONDS,
-        lambda: add_node(group, f'{name}n', syncing=is_syncing),
+        lambda: add_node(group, successor, syncing=is_syncing),
     )
+    schedule(group.queue, DOWN_SECONDS + SEED_LAG_SECONDS, rename)
 
 
 def lose_power(changes: Changes) -> None:
