--- a/src/mustardhold/daemons/feed_watch.py
+++ b/src/mustardhold/daemons/feed_watch.py
@@ -67,6 +67,8 @@
         Internal addresses of control instances.
     limit
         Control instances to watch at the same time.
+    watched, reached
+        Those that are asked now, and those of them that have answered.
     documents
         Where newer configurations go; none where they come otherwise.
     note_report
@@ -95,6 +97,7 @@
     note_reply: Callable[[FeedReply], None]
     client: HttpClient = field(default_factory=HttpClient)
     watched: set[str] = field(default_factory=set)
+    reached: set[str] = field(default_factory=set)
     failed_at: dict[str, float] = field(default_factory=dict)
     is_fed: bool = False
     newest_version: int = 0
@@ -133,12 +136,22 @@
             xxhash.xxh3_64_intdigest(f'{watch.name}/{address}'.encode()),
         )
     )
-    return free[: max(watch.limit - len(watch.watched), 0)]
+    return free[: count_to_try(watch)]
+
+
+def count_to_try(watch: FeedWatch) -> int:
+    """Count how many more to try while fewer answer than are wanted.
+
+    Some may be without power, and then take long to fail.
+    """
+    if len(watch.reached) >= watch.limit:
+        return 0
+    return max(2 * watch.limit - len(watch.watched), 0)
 
 
 async def watch_control(watch: FeedWatch, address: str) -> None:
     """Follow one control instance until it fails or is out of date."""
-    run_id, after, is_reached = '', 0, False
+    run_id, after = '', 0
     current_at = watch.clock.monotonic()
     try:
         while True:
@@ -146,22 +159,31 @@
             reply = await poll(watch, address, ask)
             if reply is None:
                 break
-            if not is_reached:
-                is_reached = True
+            if address not in watch.reached:
+                watch.reached.add(address)
                 watch.log.info('control reached', extra={'address': address})
             take_reply(watch, address, reply)
+            if len(watch.reached) > watch.limit:
+                watch.log.info('control not needed', extra={'address': address})
+                break
             run_id, after = reply.run_id, reply.revision
             now = watch.clock.monotonic()
             current_at = now if reply.is_current else current_at
             if now - current_at > FEED_STALE.total_seconds():
                 break
     finally:
-        note_lost(watch, address, is_reached=is_reached)
+        note_left(watch, address)
+
 
+def note_left(watch: FeedWatch, address: str) -> None:
+    """Note that nobody watches a control instance any more.
 
-def note_lost(watch: FeedWatch, address: str, *, is_reached: bool) -> None:
-    """Note that a control instance failed; log it once until it answers."""
-    if is_reached or address not in watch.failed_at:
+    One that failed is logged once, until it answers again.
+    """
+    is_spare = len(watch.reached) > watch.limit
+    is_reached = address in watch.reached
+    watch.reached.discard(address)
+    if not is_spare and (is_reached or address not in watch.failed_at):
         watch.log.warning(
             'control lost',
             extra={'address': address, 'was_reached': is_reached},
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -97,6 +97,7 @@
 MAX_REPLICA_BODY_BYTES: Final = 67_108_864
 
 HTTP_IDLE: Final = timedelta(seconds=15)
+FIRST_CONNECT: Final = timedelta(milliseconds=150)
 TCP_SILENCE: Final = timedelta(seconds=2)
 MAX_HTTP_CONNECTIONS: Final = 2_048
 MAX_HTTP_ANSWER_BYTES: Final = 67_108_864
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -22,6 +22,7 @@
     FEED_PAGE,
     DocumentSink,
     FeedWatch,
+    next_contacts,
     run_watch,
 )
 from mustardhold.systems.directory import take_report
@@ -118,6 +119,34 @@
             await trio.sleep(0.01)
 
 
+@pytest.mark.parametrize(
+    ('watched', 'reached', 'tried'),
+    [
+        ('', '', 'abcd'),
+        # Some may be without power: others are tried meanwhile.
+        ('ab', '', 'cd'),
+        ('abc', 'c', 'd'),
+        ('ab', 'ab', ''),
+    ],
+)
+def test_more_are_tried_while_fewer_answer_than_wanted(watched, reached, tried):
+    one = FeedWatch(
+        'b1',
+        '',
+        Directory(),
+        SystemClock(),
+        logging.getLogger('feed'),
+        2,
+        set('abcd'),
+        None,
+        lambda _: None,
+        lambda _: None,
+        watched=set(watched),
+        reached=set(reached),
+    )
+    assert set(next_contacts(one)) == set(tried)
+
+
 async def test_a_slow_configuration_holds_up_no_server(control, watch):
     one, taken = watch
     control.configure(LARGE)
