--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -1,5 +1,6 @@
 """One control replica with its disk, its links and its waiting edits."""
 
+import errno
 import logging
 import os
 import random
@@ -47,6 +48,7 @@
 )
 
 UID_BYTES = 16
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 AnyOutcome = EditOutcome | RepeatedEdit
 Proposed = TypeVar('Proposed')
@@ -158,6 +160,20 @@
     close_folder(node.disk)
 
 
+def return_to_disk(node: ReplicaNode) -> None:
+    """Forget what a full disk refused, and whoever waits for it."""
+    store, saved = open_store(node.disk)
+    node.store = store
+    now = node.clock.monotonic()
+    consensus.return_to_saved(
+        node.replica, now, saved.vote, saved.snapshot, saved.log
+    )
+    for waiting in node.waiting_by_index.values():
+        waiting.done.set()
+    node.waiting_by_index.clear()
+    log_role(node)
+
+
 @contextmanager
 def ending_on_fault(node: ReplicaNode) -> Iterator[None]:
     """End the process where a step fails between its state and its disk.
@@ -176,8 +192,19 @@
 
 
 def follow_effects(node: ReplicaNode, effects: Effects) -> None:
-    """Save, send and answer, in this order."""
-    save_effects(node.store, effects, node.replica.log)
+    """Save, send and answer, in this order.
+
+    Where the disk is full, nothing is sent or answered, and the memory
+    returns to what is saved.
+    """
+    try:
+        save_effects(node.store, effects, node.replica.log)
+    except OSError as error:
+        if error.errno not in FULL_ERRORS:
+            raise
+        note_fault(node.faults, 'disk-full', error)
+        return_to_disk(node)
+        return
     if node.links is not None:
         for one in effects.sends:
             send_message(node.links, one)
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -9,6 +9,7 @@
 )
 from mustardhold.systems.election import (
     check_quorum,
+    follow,
     has_lease,
     hears_leader,
     put_off_election,
@@ -134,6 +135,24 @@
     commit_to(replica, min(commit_index, last_entry(replica).index), Effects())
 
 
+def return_to_saved(
+    replica: Replica,
+    now: float,
+    vote: Vote,
+    snapshot: Snapshot,
+    log: list[LogEntry],
+) -> None:
+    """Go on from what the folder holds, as after a restart.
+
+    What was known to be committed stays so, as far as the folder holds it.
+    """
+    committed = replica.commit_index
+    follow(replica, None)
+    restore_replica(replica, vote, snapshot, log, committed)
+    replica.leader_heard_at = now
+    put_off_election(replica, now)
+
+
 def step(replica: Replica, now: float, message: ReplicaMessage) -> Effects:
     """Act on a message of another replica."""
     effects = Effects()
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -1,20 +1,26 @@
 """A replica process ends where a step fails."""
 
+import errno
 import logging
 
 import pytest
 
 from mustardhold.adapters import replica_store
 from mustardhold.adapters.clock import SystemClock
+from mustardhold.adapters.replica_store import open_store
 from mustardhold.daemons import replica_node
 from mustardhold.systems import consensus
+from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.consensus import (
     AppendRequest,
+    ConfigurationCommand,
     LogEntry,
     NoOp,
     ReplicaMember,
+    Role,
 )
 from mustardhold.tables.options import ControlOptions
+from mustardhold.tables.routing import Accepted, Unknown
 
 
 @pytest.fixture
@@ -46,6 +52,66 @@
         replica_node.take_step(node, contradiction())
 
 
+def fill(monkeypatch, node):
+    """Let the disk take no more bytes."""
+
+    def refuse(_, name, content):
+        raise OSError(errno.ENOSPC, f'{name}: {len(content)} bytes too many')
+
+    monkeypatch.setattr(type(node.disk), 'append', refuse)
+
+
+def propose(node, version):
+    document = VersionedDocument(version, b'{}')
+    return replica_node.give_proposal(
+        node,
+        lambda now: consensus.propose_configuration(
+            node.replica, now, document
+        ),
+    )
+
+
+async def test_full_disk_refuses_and_goes_on_once_there_is_room(node):
+    propose(node, 1)
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        fill(monkeypatch, node)
+        _, waiting = propose(node, 2)
+        assert isinstance(waiting.outcome, Unknown)
+        assert waiting.done.is_set()
+        assert not node.waiting_by_index
+        # No vote is given that could not be saved.
+        for later in (3, 6):
+            now = node.clock.monotonic() + later
+            with replica_node.ending_on_fault(node):
+                effects = consensus.tick(node.replica, now)
+                replica_node.follow_effects(node, effects)
+        assert node.replica.role is not Role.LEADER
+    assert node.replica.configuration.version == 1
+    assert not node.stopping.is_set()
+    now = node.clock.monotonic() + 9
+    replica_node.follow_effects(node, consensus.tick(node.replica, now))
+    _, waiting = propose(node, 3)
+    assert isinstance(waiting.outcome, Accepted)
+    _, saved = open_store(node.disk)
+    versions = [
+        entry.command.configuration.version
+        for entry in saved.log
+        if isinstance(entry.command, ConfigurationCommand)
+    ]
+    assert versions == [1, 3]
+
+
+async def test_full_disk_answers_no_append(node, monkeypatch):
+    fill(monkeypatch, node)
+    log = list(node.replica.log)
+    entries = (LogEntry(9, 3, NoOp()),)
+    sender = ReplicaMember('c2/1', 'c2', '127.0.0.1:2')
+    replica_node.take_step(node, AppendRequest(sender, 9, 2, 1, entries, 2, 0))
+    assert node.replica.log == log
+    assert node.replica.vote.term == log[-1].term
+    assert not node.stopping.is_set()
+
+
 async def test_failed_write_ends_the_process(node, monkeypatch):
     def fail(*_):
         raise OSError('no space left on device')
