Leave out decoded fields that nothing decides by

Change: the wire's types still check them, as an invalid configuration is to be refused; the decoded configuration holds routes only.

--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -13,7 +13,6 @@
     Configuration,
     RequestKind,
     ServiceAddress,
-    ServiceLimits,
     ServiceRoute,
     VersionedDocument,
     WeightedService,
@@ -58,7 +57,7 @@
 
 
 class WireService(msgspec.Struct, frozen=True):
-    """A service."""
+    """A service; all but its name is checked only."""
 
     name: str
     health_path: str
@@ -66,7 +65,7 @@
 
 
 class WireLimits(msgspec.Struct, frozen=True):
-    """Limits; the others have no meaning for flows."""
+    """Limits, which are checked only; the others are not read."""
 
     idle_timeout_ms: Positive = DEFAULT_IDLE_MS
 
@@ -209,11 +208,4 @@
             routes[address] = ServiceRoute(
                 route.name, address, route.kind, targets_of(route)
             )
-    services = {
-        service.name: ServiceLimits(
-            service.name, service.health_path, service.max_flows
-        )
-        for service in wire.services
-    }
-    idle_seconds = wire.limits.idle_timeout_ms / 1000
-    return Ok(Configuration(held.version, routes, services, idle_seconds))
+    return Ok(Configuration(held.version, routes))
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -32,7 +32,6 @@
     """What may be lost at the same time."""
 
     machines: int = 0
-    zones: int = 0
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
--- a/src/mustardhold/tables/configurations.py
+++ b/src/mustardhold/tables/configurations.py
@@ -56,32 +56,8 @@
     targets: tuple[WeightedService, ...]
 
 
-class ServiceLimits(msgspec.Struct, frozen=True):
-    """What holds for the servers of a service.
-
-    Attributes
-    ----------
-    health_path
-        Page that tells whether a server considers itself healthy.
-    connection_limit
-        Flows that one server holds at most.
-    """
-
-    name: str
-    health_path: str
-    connection_limit: int
-
-
 class Configuration(msgspec.Struct, frozen=True):
-    """A decoded configuration.
-
-    Attributes
-    ----------
-    idle_seconds
-        After this time without a packet a flow may be forgotten.
-    """
+    """A decoded configuration, as far as anything here decides by it."""
 
     version: int
     routes_by_address: dict[ServiceAddress, ServiceRoute]
-    services_by_name: dict[str, ServiceLimits]
-    idle_seconds: float
