--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -240,7 +240,11 @@
     count(traffic.world, 'resets')
     server = traffic.servers_by_number.get(flow.server)
     if server is not None and server.is_alive and flow.port in server.flows:
-        note(traffic.world, f'flow {flow.port} of a living server was reset')
+        note(
+            traffic.world,
+            f'flow {flow.port} with token {flow.token} at server '
+            f'{server.number}, started {server.born}, was reset',
+        )
 
 
 async def run_flow(traffic: Traffic, flow: Flow) -> None:
