Prefer the own data centre only as far as its servers' share

Change: an opening goes near first for a share of flows that is the near servers' weight times the number of data centres over the weight of all, at most all; the others go to any two. Every balancer of a data centre draws alike.

Tests: a data centre with one of seven servers gets its share (failed before, 1.75 of the mean); near servers come first where they bear it.

--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -2,6 +2,7 @@
 
 import math
 import struct
+from collections.abc import Sequence
 
 import xxhash
 
@@ -34,6 +35,8 @@
 
 FLOW_FORMAT = struct.Struct('!IHIH')
 HASH_RANGE = 2**64
+# Apart from the hash that orders the servers.
+NEAR_SEED = 1
 
 
 def flow_key(packet: CallerPacket) -> bytes:
@@ -142,8 +145,9 @@
     """Order a service's servers by a weighted rendezvous hash of the flow.
 
     The first of the own data centre comes before all others, so that a cut
-    between data centres costs few flows. Servers that do not answer come
-    last; those whose reports ceased, only where there is no other.
+    between data centres costs few flows, as far as that is a fair share.
+    Servers that do not answer come last; those whose reports ceased, only
+    where there is no other.
     """
     servers = servers_of(tables, service)
     heard = [known for known in servers if not is_silent(tables, now, known)]
@@ -154,14 +158,38 @@
             distance(now, known, flow),
         ),
     )
-    for position, known in enumerate(ordered):
-        is_near = known.report.data_centre == tables.data_centre
-        if is_near and not is_avoided(tables, now, known):
-            ordered.insert(0, ordered.pop(position))
-            break
+    near = [
+        known
+        for known in ordered
+        if known.report.data_centre == tables.data_centre
+        and not is_avoided(tables, now, known)
+    ]
+    if near and is_near_fair(tables, now, flow, near, ordered):
+        ordered.remove(near[0])
+        ordered.insert(0, near[0])
     return ordered
 
 
+def is_near_fair(
+    tables: ForwardingTables,
+    now: float,
+    flow: bytes,
+    near: Sequence[KnownServer],
+    servers: Sequence[KnownServer],
+) -> bool:
+    """Tell whether a flow is of the share that the own data centre can bear.
+
+    Each data centre is taken to have as many callers as any other. Where it
+    has fewer servers, the flows beyond its share go anywhere.
+    """
+    centres = {known.report.data_centre for known in servers}
+    centres.add(tables.data_centre)
+    weight = sum(weight_of(known, now) for known in near)
+    total = sum(weight_of(known, now) for known in servers)
+    point = xxhash.xxh3_64_intdigest(flow, seed=NEAR_SEED) / HASH_RANGE
+    return point * total < weight * len(centres)
+
+
 def distance(now: float, known: KnownServer, flow: bytes) -> float:
     """Draw a server's exponential distance; twice the weight halves it."""
     key = flow + known.token.to_bytes(4, 'big')
--- a/tests/test_token_forwarding.py
+++ b/tests/test_token_forwarding.py
@@ -353,3 +353,30 @@
     assert take_held(tables, late + 0.1) == [b'new']
     dropped = tables.counters['drop', DropCause.HELD_TOO_LONG]
     assert dropped == MAX_HELD_AT_START + 3
+
+
+def test_a_data_centre_with_few_servers_gets_its_share_only():
+    centres = ('dc-1', 'dc-2', 'dc-2', 'dc-3', 'dc-3', 'dc-4', 'dc-4')
+    servers = [
+        server(number, data_centre=centre)
+        for number, centre in enumerate(centres, start=1)
+    ]
+    first = Counter()
+    for own in ('dc-1', 'dc-2', 'dc-3', 'dc-4'):
+        tables = tables_of(*servers)
+        tables.data_centre = own
+        first.update(chosen(tables, opening(port))[0] for port in range(1_000))
+    mean = sum(first.values()) / len(servers)
+    # One server of seven, with a quarter of the callers: 1.75 before.
+    assert max(first.values()) < 1.25 * mean
+    assert min(first.values()) > 0.8 * mean
+
+
+def test_near_servers_come_first_where_they_bear_it():
+    servers = [
+        server(number, data_centre=f'dc-{number % 2}') for number in range(1, 7)
+    ]
+    tables = tables_of(*servers)
+    tables.data_centre = 'dc-1'
+    near = {'i-1', 'i-3', 'i-5'}
+    assert {chosen(tables, opening(port))[0] for port in range(300)} == near
