--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -94,21 +94,27 @@
     return one
 
 
-@pytest.fixture
-async def watch(nursery, control):
-    taken = []
-    one = FeedWatch(
+def make_watch(contacts, documents=None):
+    """Watch two control instances at a time, and tell nobody."""
+    return FeedWatch(
         'b1',
         '',
         Directory(),
         SystemClock(),
         logging.getLogger('feed'),
         2,
-        {control.address},
-        DocumentSink(lambda: taken[-1].version if taken else 0, taken.append),
+        contacts,
+        documents,
         lambda _: None,
         lambda _: None,
     )
+
+
+@pytest.fixture
+async def watch(nursery, control):
+    taken = []
+    sink = DocumentSink(lambda: taken[-1].version if taken else 0, taken.append)
+    one = make_watch({control.address}, sink)
     nursery.start_soon(run_watch, one)
     return one, taken
 
@@ -130,20 +136,9 @@
     ],
 )
 def test_more_are_tried_while_fewer_answer_than_wanted(watched, reached, tried):
-    one = FeedWatch(
-        'b1',
-        '',
-        Directory(),
-        SystemClock(),
-        logging.getLogger('feed'),
-        2,
-        set('abcd'),
-        None,
-        lambda _: None,
-        lambda _: None,
-        watched=set(watched),
-        reached=set(reached),
-    )
+    one = make_watch(set('abcd'))
+    one.watched.update(watched)
+    one.reached.update(reached)
     assert set(next_contacts(one)) == set(tried)
 
 
