Accept uploads, and routes of kinds that are not known

Change: uploads are a kind that may not be repeated. A kind that is not known is taken as not idempotent, with a warning, because refusing a whole configuration for one word costs every caller. Priorities, target latencies and limits of cold servers are decoded for the parts that will need them.

--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -4,6 +4,7 @@
 import json
 from collections import Counter
 from collections.abc import Iterator
+from datetime import timedelta
 from typing import Annotated, Any
 
 import msgspec
@@ -13,6 +14,7 @@
     Configuration,
     RequestKind,
     ServiceAddress,
+    ServiceLimits,
     ServiceRoute,
     VersionedDocument,
     WeightedService,
@@ -22,6 +24,7 @@
 
 Positive = Annotated[int, msgspec.Meta(gt=0)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+Priority = Annotated[int, msgspec.Meta(ge=0)]
 DEFAULT_IDLE_MS = 15_000
 MAX_PORT = 65_535
 Findings = tuple[Finding, ...]
@@ -43,25 +46,40 @@
         IPv4 address that callers connect to; not that of a backend server.
     path_prefix
         Port that callers connect to, between slashes.
+    kind
+        Kind of the requests. One that is not known here is accepted, since a
+        refusal would leave every caller without service.
     service, split
         Destination of new flows: one service, or several by weight.
+    priority
+        Importance of the requests; 0 is the highest.
     """
 
     name: str
     host: str
     path_prefix: str
-    kind: RequestKind
+    kind: Annotated[str, msgspec.Meta(min_length=1)]
     timeout_ms: Positive
     service: str = ''
     split: tuple[WireTarget, ...] = ()
+    priority: Priority = 0
+    target_latency_ms: NonNegative = 0
 
 
 class WireService(msgspec.Struct, frozen=True):
-    """A service; only its name is used, the other fields are validated."""
+    """A service; fields that are not listed below are only validated.
+
+    Attributes
+    ----------
+    cold_per_s
+        Requests a second that a server bears in its slow start; 0 means no
+        limit.
+    """
 
     name: str
     health_path: str
     max_flows: Positive = 1
+    cold_per_s: NonNegative = 0
 
 
 class WireLimits(msgspec.Struct, frozen=True):
@@ -276,6 +294,43 @@
         address = read_address(route)
         if address is not None:
             routes[address] = ServiceRoute(
-                route.name, address, route.kind, targets_of(route)
+                route.name,
+                address,
+                read_kind(route),
+                targets_of(route),
+                route.priority,
+                timedelta(milliseconds=route.target_latency_ms),
             )
-    return Ok(Configuration(document.version, routes))
+    limits = {
+        service.name: ServiceLimits(service.name, service.cold_per_s)
+        for service in wire.services
+    }
+    return Ok(Configuration(document.version, routes, limits))
+
+
+def read_kind(route: WireRoute) -> RequestKind:
+    """Return the kind of a route's requests.
+
+    Requests of a kind that is not known may not be idempotent.
+    """
+    try:
+        return RequestKind(route.kind)
+    except ValueError:
+        return RequestKind.UNSAFE
+
+
+def find_unknown_kinds(document: VersionedDocument) -> Findings:
+    """Find the routes of a valid document whose kind is not known."""
+    unpacked = unpack_document(document)
+    decoded = unpacked if isinstance(unpacked, Err) else decode(unpacked.value)
+    if isinstance(decoded, Err):
+        return ()
+    known = set(RequestKind)
+    return tuple(
+        Finding(
+            f'routes[{number}].kind',
+            f'{route.kind!r} is not known; taken as not idempotent',
+        )
+        for number, route in enumerate(decoded.value.routes)
+        if route.kind not in known
+    )
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -29,7 +29,10 @@
     make_control,
     share_report,
 )
-from mustardhold.platform.configurations import validate_document
+from mustardhold.platform.configurations import (
+    find_unknown_kinds,
+    validate_document,
+)
 from mustardhold.platform.reports import read_leave, read_report
 from mustardhold.platform.settings import (
     NodeSettings,
@@ -99,6 +102,12 @@
             extra={'findings': [str(one) for one in parsed.error]},
         )
         return refuse_all(parsed.error)
+    unknown_kinds = find_unknown_kinds(parsed.value)
+    if unknown_kinds:
+        control.node.log.warning(
+            'configuration has unknown kinds',
+            extra={'findings': [str(one) for one in unknown_kinds]},
+        )
     outcome = await replace_configuration(control.node, parsed.value)
     control.node.log.info(
         'configuration answered',
--- a/src/mustardhold/tables/configurations.py
+++ b/src/mustardhold/tables/configurations.py
@@ -1,5 +1,6 @@
 """Versioned configurations; each one replaces the previous one as a whole."""
 
+from datetime import timedelta
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -33,6 +34,11 @@
     SAFE = 'safe'
     UNSAFE = 'unsafe'
     DOWNLOAD = 'download'
+    UPLOAD = 'upload'
+
+
+REPEATABLE_KINDS: Final = frozenset({RequestKind.SAFE, RequestKind.DOWNLOAD})
+"""Kinds of requests that are idempotent; all others may run once at most."""
 
 
 class ServiceAddress(NamedTuple):
@@ -50,12 +56,36 @@
 
 
 class ServiceRoute(msgspec.Struct, frozen=True):
-    """Maps an address to the services that receive its new flows."""
+    """Maps an address to the services that receive its new flows.
+
+    Attributes
+    ----------
+    priority
+        Importance of its requests; 0 is the highest.
+    target_latency
+        Time in which callers expect an answer; zero if it is not configured.
+    """
 
     name: str
     address: ServiceAddress
     kind: RequestKind
     targets: tuple[WeightedService, ...]
+    priority: int = 0
+    target_latency: timedelta = timedelta()
+
+
+class ServiceLimits(msgspec.Struct, frozen=True):
+    """Limits on what the servers of a service may be sent.
+
+    Attributes
+    ----------
+    cold_openings_per_second
+        Openings a second that a server bears in its slow start, from all
+        balancers together; 0 means no limit.
+    """
+
+    name: str
+    cold_openings_per_second: float = 0
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -63,3 +93,6 @@
 
     version: int
     routes_by_address: dict[ServiceAddress, ServiceRoute]
+    limits_by_service: dict[str, ServiceLimits] = msgspec.field(
+        default_factory=dict
+    )
