Send packets no faster than the instance's own link carries

Cause: uploads arrive in bursts of 16 packets within 1 ms. Sent on as they come, they overflow the link's own queue, which holds about a third of a burst, and small packets of other flows are dropped with them.

Change: where limits.link_mbps is set, datagrams beyond a small burst wait in a queue of the balancer, paced at 0.92 of the link's rate. Openings and resets go first, then flows with little in the queue, then the others by deficit round robin; within a flow by sequence number. A copy takes the place of the queued packet. Without a rate, packets are sent as before.

--- a/src/mustardhold/adapters/metrics.py
+++ b/src/mustardhold/adapters/metrics.py
@@ -24,6 +24,7 @@
     'batch_packets': 'Packets taken between two checkpoints',
     'configuration_seconds': 'Time from taking a configuration to its answer',
     'report_seconds': 'Time from taking a leaving server to its answer',
+    'link_queue_seconds': 'Time of a packet in the queue of the link',
     'relay_hops': 'Relays that a packet has been through',
 }
 
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -24,6 +24,7 @@
     FeedClient,
     WatcherIdentity,
 )
+from mustardhold.daemons.link_sending import LinkSender, run_link_sender
 from mustardhold.daemons.metrics_server import MetricsSnapshot, serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.report_logs import log_report
@@ -32,9 +33,15 @@
     Codecs,
     TokenBalancer,
     handle_datagram,
+    send,
 )
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
 from mustardhold.systems.draining import Drain, is_drained
+from mustardhold.systems.link_queue import (
+    is_empty,
+    make_link_gauges,
+    make_link_queue,
+)
 from mustardhold.systems.liveness import forget_silent_servers
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.constants import (
@@ -98,6 +105,14 @@
         feed,
         ErrorReporter(log, tables.counters),
     )
+    queue = make_link_queue(options.link_bytes_per_second, tables)
+    if queue is not None:
+        balancer.link = LinkSender(
+            queue,
+            functools.partial(send, balancer),
+            clock,
+            balancer.histograms_by_key,
+        )
     return balancer
 
 
@@ -108,7 +123,7 @@
         known.report.state is ServerState.READY
         for known in tables.directory.servers_by_id.values()
     )
-    gauges = (
+    gauges = [
         Gauge(
             'configuration_version',
             'Version in force',
@@ -120,9 +135,11 @@
             'Time since a current control instance told its state',
             balancer.clock.monotonic() - tables.last_feed_at,
         ),
-    )
+    ]
+    if balancer.link is not None:
+        gauges.extend(make_link_gauges(balancer.link.queue))
     return MetricsSnapshot(
-        dict(tables.counters), balancer.histograms_by_key, gauges
+        dict(tables.counters), balancer.histograms_by_key, tuple(gauges)
     )
 
 
@@ -135,12 +152,19 @@
     grace_seconds = balancer.options.stop_grace.total_seconds()
     drain = Drain(balancer.clock.monotonic(), grace_seconds)
     while not is_drained(
-        drain, balancer.clock.monotonic(), balancer.tables.last_packet_at
+        drain, balancer.clock.monotonic(), last_activity_at(balancer)
     ):
         await trio.sleep(DRAIN_CHECK_INTERVAL.total_seconds())
     stopped.set()
 
 
+def last_activity_at(balancer: TokenBalancer) -> float:
+    """Return when the latest packet arrived; now while any is queued."""
+    if balancer.link is None or is_empty(balancer.link.queue):
+        return balancer.tables.last_packet_at
+    return balancer.clock.monotonic()
+
+
 def make_feed_app(balancer: TokenBalancer) -> Application:
     """Make the application that serves the feed to other balancers."""
     return make_app(
@@ -187,6 +211,8 @@
             balancer.error_reporter,
             lambda _: None,
         )
+        if balancer.link is not None:
+            nursery.start_soon(run_link_sender, balancer.link)
         nursery.start_soon(run_feed_client, balancer.feed_client)
         nursery.start_soon(
             forget_servers_periodically,
--- a/src/mustardhold/daemons/token_packets.py
+++ b/src/mustardhold/daemons/token_packets.py
@@ -4,7 +4,6 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from mustardhold.adapters.clock import Clock
 from mustardhold.daemons.decision_logs import (
@@ -14,11 +13,17 @@
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
 from mustardhold.daemons.feed_handlers import FeedPublisher
 from mustardhold.daemons.feed_state import FeedClient
+from mustardhold.daemons.link_sending import LinkSender, submit
 from mustardhold.systems.histograms import (
     OPEN_SECONDS,
     HistogramsByKey,
     observe,
 )
+from mustardhold.systems.link_queue import (
+    make_key,
+    make_reset_key,
+    may_bypass,
+)
 from mustardhold.systems.startup_queue import hold_until_ready
 from mustardhold.systems.token_forwarding import decide_packet
 from mustardhold.tables.configurations import (
@@ -37,18 +42,12 @@
     Hold,
     Reset,
 )
+from mustardhold.tables.link_queue import Datagram, PacketKey
 from mustardhold.tables.options import TokenBalancerOptions
 from mustardhold.tables.outcomes import Outcome
 from mustardhold.tables.routing import Finding
 
 
-class Datagram(NamedTuple):
-    """Payload and destination of a UDP datagram."""
-
-    payload: bytes
-    address: tuple[str, int]
-
-
 @dataclass(frozen=True, slots=True)
 class PacketCodec:
     """Reads and writes packets of callers and backend servers.
@@ -69,6 +68,7 @@
     reset: Callable[[CallerPacket], Datagram]
 
 
+MakeKey = Callable[[CallerPacket, Datagram], PacketKey]
 ConfigurationResult = Outcome[Configuration, tuple[Finding, ...]]
 
 
@@ -90,6 +90,8 @@
         Publishes the tables to balancers that follow this one.
     document
         The configuration in force, as control instances sent it.
+    link
+        Queue for the instance's own link; None if its rate is unknown.
     """
 
     options: TokenBalancerOptions
@@ -103,6 +105,7 @@
     error_reporter: ErrorReporter
     document: VersionedDocument = NO_DOCUMENT
     histograms_by_key: HistogramsByKey = field(default_factory=dict)
+    link: LinkSender | None = None
 
 
 def handle_datagram(balancer: TokenBalancer, raw: bytes) -> None:
@@ -143,11 +146,12 @@
         case Forward():
             forward = balancer.codecs.packets.forward
             for known in decision.servers:
-                send(balancer, forward(raw, known))
+                transmit(balancer, now, packet, forward(raw, known), make_key)
             outcome = 'opened' if packet.is_opening else 'forwarded'
             counters[decision.service, outcome] += 1
         case Reset(cause):
-            send(balancer, balancer.codecs.packets.reset(packet))
+            reset = balancer.codecs.packets.reset(packet)
+            transmit(balancer, now, packet, reset, make_reset_key)
             counters['reset', cause] += 1
         case Drop(cause):
             counters['drop', cause] += 1
@@ -155,6 +159,22 @@
             hold_until_ready(balancer.tables, now, packet, raw)
 
 
+def transmit(
+    balancer: TokenBalancer,
+    now: float,
+    packet: CallerPacket,
+    datagram: Datagram,
+    make_datagram_key: MakeKey,
+) -> None:
+    """Send a datagram, or queue it while the link is busy."""
+    link = balancer.link
+    if link is None or may_bypass(link.queue, now, datagram.link_bytes):
+        send(balancer, datagram)
+    else:
+        key = make_datagram_key(packet, datagram)
+        submit(link, now, datagram, key, packet.acknowledged)
+
+
 def send(balancer: TokenBalancer, datagram: Datagram) -> None:
     """Send a datagram; count and drop it if it cannot be sent immediately."""
     try:
--- a/src/mustardhold/platform/packets.py
+++ b/src/mustardhold/platform/packets.py
@@ -4,18 +4,19 @@
 import struct
 from functools import lru_cache
 
-from mustardhold.daemons.token_packets import Datagram, PacketCodec
+from mustardhold.daemons.token_packets import PacketCodec
 from mustardhold.platform.server_ids import CACHED_IDS, server_number
 from mustardhold.systems.addresses import split_address
 from mustardhold.tables.configurations import ServiceAddress
 from mustardhold.tables.directory import KnownServer
 from mustardhold.tables.forwarding import CallerPacket
+from mustardhold.tables.link_queue import Datagram
 
 # Fields: sum, echo, seq, ack, flags, pad, len, dport, sport, dst, src.
 HEADER = struct.Struct('!IIIIBBHHHII')
-# Only echo (the flow's token), ack (in an opening: the number of copies sent
-# before it), flags and len.
-PARSED_HEADER_FIELDS = struct.Struct('!4xI4xIBxH')
+# Only echo (the flow's token), seq, ack (in an opening: the number of copies
+# sent before it), flags and len.
+PARSED_HEADER_FIELDS = struct.Struct('!4xIIIBxH')
 # Offset of the last four fields; their bytes are the key of the flow.
 FLOW_START = 20
 # Port and IP address of the service within the flow key.
@@ -35,7 +36,7 @@
     """Decode a caller's packet; return None if it is malformed."""
     if len(raw) < HEADER_BYTES:
         return None
-    token, ack, flags, length = PARSED_HEADER_FIELDS.unpack_from(raw)
+    token, sequence, ack, flags, length = PARSED_HEADER_FIELDS.unpack_from(raw)
     if length > MAX_PAYLOAD_BYTES or len(raw) != HEADER_BYTES + length:
         return None
     is_opening = bool(flags & SYN)
@@ -52,6 +53,9 @@
         ack if is_opening else 0,
         is_opening,
         bool(flags & RST),
+        sequence,
+        length,
+        bool(flags & FIN),
     )
 
 
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -19,6 +19,7 @@
 FILE_VARIABLE = 'MUSTARDHOLD_NODE_FILE'
 # Must match the port in deploy/system.toml.
 METRICS_PORT = 9464
+BYTES_PER_MEGABIT = 125_000
 
 
 class BindAddresses(msgspec.Struct, frozen=True):
@@ -47,6 +48,18 @@
     grace_period_s: float = STOP_GRACE.total_seconds()
 
 
+class InstanceLimits(msgspec.Struct, frozen=True):
+    """Resources of the instance.
+
+    Attributes
+    ----------
+    link_mbps
+        Rate of the instance's own link in megabits a second; 0 if unknown.
+    """
+
+    link_mbps: float = 0
+
+
 class NodeSettings(msgspec.Struct, frozen=True):
     """The settings that are used; other fields are ignored.
 
@@ -73,6 +86,7 @@
     heartbeat_interval_ms: int = 1000
     fault_tolerance: FaultTolerance = FaultTolerance()
     bounds: Bounds = Bounds()
+    limits: InstanceLimits = InstanceLimits()
 
 
 _decoder = msgspec.json.Decoder(NodeSettings)
@@ -156,4 +170,5 @@
         f'{settings.ip_address}:{settings.internal_port_range[0]}',
         control_addresses(settings),
         timedelta(seconds=settings.bounds.grace_period_s),
+        max(settings.limits.link_mbps, 0) * BYTES_PER_MEGABIT,
     )
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -153,6 +153,25 @@
 AVOID_AFTER_UNANSWERED: Final = 2
 AVOIDANCE_PERIOD: Final = timedelta(seconds=3)
 
+# An IPv4 and a UDP header.
+DATAGRAM_HEADER_BYTES: Final = 28
+# A datagram with a full packet: 8 bytes for the server, 32 of header, 1,200 of
+# payload.
+FULL_DATAGRAM_BYTES: Final = 1_268
+# The rest is for the feed and for readiness checks.
+LINK_RATE_SHARE: Final = 0.92
+# A link's own queue holds some five full datagrams; the feed needs some of it.
+LINK_BURST_BYTES: Final = 3 * FULL_DATAGRAM_BYTES
+# Fast links queue more: without this, their timers would be too frequent.
+LINK_BURST_PERIOD: Final = timedelta(milliseconds=5)
+# A flow that has more than this in the queue at once has a backlog. Requests
+# without a body fit; a full datagram does not.
+SPARSE_FLOW_BYTES: Final = FULL_DATAGRAM_BYTES // 2
+# Callers retransmit after 200 ms, 600 ms and 1.4 s.
+LINK_QUEUE_PERIOD: Final = timedelta(seconds=1)
+MAX_LINK_QUEUE_BYTES: Final = 1_048_576
+MIN_LINK_WAIT: Final = timedelta(milliseconds=1)
+
 LOG_LINES_PER_SECOND: Final = 20.0
 LOG_LINES_BURST: Final = 100.0
 MAX_LOG_BACKLOG_BYTES: Final = 65_536
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -38,6 +38,12 @@
         Latest acknowledgement by the caller of bytes from the server.
     is_reset
         Whether the caller aborted the flow.
+    sequence
+        Number of the first byte of the payload within the flow.
+    length
+        Bytes of payload.
+    is_closing
+        Whether the caller sends nothing after this packet.
     """
 
     flow: bytes
@@ -47,6 +53,9 @@
     attempt: int
     is_opening: bool
     is_reset: bool
+    sequence: int = 0
+    length: int = 0
+    is_closing: bool = False
 
     @property
     def caller(self) -> ServiceAddress:
@@ -65,6 +74,8 @@
     NO_TOKEN = 'no-token'
     UNKNOWN_TOKEN = 'unknown-token'
     FLOW_ENDED = 'flow-ended'
+    LINK_QUEUE_FULL = 'link-queue-full'
+    LINK_QUEUE_TIMEOUT = 'link-queue-timeout'
 
 
 class Forward(NamedTuple):
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -108,6 +108,9 @@
         Time from the request to stop until the process would be killed.
     metrics_address
         HTTP server for metrics.
+    link_bytes_per_second
+        Rate of the instance's own link; 0 if unknown, then packets are sent as
+        they come.
     """
 
     instance_id: Name
@@ -118,3 +121,4 @@
     feed_address: Address
     control_addresses: tuple[Address, ...]
     stop_grace: timedelta = STOP_GRACE
+    link_bytes_per_second: float = 0
--- a/tests/test_token_balancer.py
+++ b/tests/test_token_balancer.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import socket
+import struct
 from dataclasses import replace
 from datetime import timedelta
 
@@ -13,6 +14,7 @@
 
 from mustardhold.adapters.clock import SystemClock
 from mustardhold.adapters.documents import pack_document
+from mustardhold.daemons.link_sending import run_link_sender
 from mustardhold.daemons.packet_loop import run_packet_loop
 from mustardhold.daemons.token_balancer import (
     make_token_balancer,
@@ -21,10 +23,10 @@
 from mustardhold.daemons.token_packets import Codecs, handle_datagram
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
 from mustardhold.platform.configurations import read_configuration
-from mustardhold.platform.packets import make_packet_codec
+from mustardhold.platform.packets import HEADER, make_packet_codec
 from mustardhold.systems import draining
 from mustardhold.systems.addresses import split_address
-from mustardhold.systems.directory import merge_report
+from mustardhold.systems.directory import merge_report, token_of
 from mustardhold.systems.token_forwarding import configuration_version, is_ready
 from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.directory import ServerReport, ServerState
@@ -61,7 +63,12 @@
 
 
 @pytest.fixture
-def balancer():
+def link_bytes_per_second():
+    return 0
+
+
+@pytest.fixture
+def balancer(link_bytes_per_second):
     options = TokenBalancerOptions(
         'balancer-1',
         'dc-1',
@@ -70,6 +77,7 @@
         free_tcp_address(),
         free_tcp_address(),
         (),
+        link_bytes_per_second=link_bytes_per_second,
     )
     codecs = Codecs(make_packet_codec(options.data_address), read_configuration)
     made = make_token_balancer(
@@ -192,3 +200,34 @@
     with trio.fail_after(5):
         await stopped.wait()
     assert not is_ready(balancer.tables)
+
+
+@pytest.mark.parametrize('link_bytes_per_second', [100_000])
+async def test_burst_leaves_at_the_rate_of_the_link_also_during_a_stop(
+    balancer, server, nursery, monkeypatch
+):
+    # A burst at once would overflow the queue of the link, and a stop must not
+    # lose what is queued.
+    monkeypatch.setattr(draining, 'MIN_DRAIN_PERIOD', timedelta(seconds=0.05))
+    monkeypatch.setattr(draining, 'DRAIN_QUIET_PERIOD', timedelta(0))
+    install_document(balancer, DOCUMENT)
+    report, now = make_report(server), balancer.clock.monotonic()
+    merge_report(balancer.tables.directory, now, report)
+    stopped = trio.Event()
+    nursery.start_soon(stop_gracefully, balancer, stopped)
+    await trio.sleep(0.05)
+    signal.raise_signal(signal.SIGTERM)
+    await trio.sleep(0.01)
+    for number in (3, 0, 2, 1, *range(15, 3, -1)):
+        header = (0, token_of(report), number * 1200, 9, 64, 0, 1200)
+        raw = HEADER.pack(*header, *struct.unpack('!HHII', OPENING[20:]))
+        handle_datagram(balancer, raw + bytes(1200))
+    began_at = trio.current_time()
+    nursery.start_soon(run_link_sender, balancer.link)
+    with trio.fail_after(5):
+        await stopped.wait()
+    assert 0.15 < trio.current_time() - began_at < 1
+    server.setblocking(False)
+    received = [server.recv(2048)[8:] for _ in range(16)]
+    numbers = [HEADER.unpack_from(raw)[2] // 1200 for raw in received]
+    assert numbers == [3, 0, 2, 1, *range(4, 16)]
