--- a/src/mustardhold/tables/configurations.py
+++ b/src/mustardhold/tables/configurations.py
@@ -37,7 +37,7 @@
     UPLOAD = 'upload'
 
 
-REPEATABLE_KINDS: Final = frozenset({RequestKind.SAFE, RequestKind.DOWNLOAD})
+REPEATABLE_KINDS: Final = frozenset((RequestKind.SAFE, RequestKind.DOWNLOAD))
 """Kinds of requests that are idempotent; all others may run once at most."""
 
 
--- /dev/null
+++ b/src/mustardhold/tables/evacuations.py
@@ -0,0 +1,41 @@
+"""Data centres that operators have ordered to get no new flows."""
+
+from typing import Final
+
+import msgspec
+
+
+class EvacuatedDataCentre(msgspec.Struct, array_like=True, frozen=True):
+    """An order to send no new flows to the servers of a data centre.
+
+    Attributes
+    ----------
+    requester
+        Control instance that accepted the order.
+    ordered_at
+        Wall-clock time of that instance, in seconds since 1970-01-01 UTC.
+    """
+
+    name: str
+    requester: str
+    ordered_at: float
+
+
+class EvacuationState(msgspec.Struct, array_like=True, frozen=True):
+    """All data centres that are evacuated.
+
+    Attributes
+    ----------
+    revision
+        Index of the log entry that last changed the state; the same on every
+        replica. The higher revision replaces the lower one.
+    data_centres
+        Sorted by name.
+    """
+
+    revision: int = 0
+    data_centres: tuple[EvacuatedDataCentre, ...] = ()
+
+
+NO_EVACUATIONS: Final = EvacuationState()
+"""State before the first order."""
--- a/src/mustardhold/tables/feed.py
+++ b/src/mustardhold/tables/feed.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from mustardhold.tables.directory import DirectoryRow
+from mustardhold.tables.evacuations import EvacuationState
 
 FEED_PATH: Final = '/feed'
 DOCUMENT_PATH: Final = '/document'
@@ -59,6 +60,8 @@
         never known to be up to date.
     failed_relays
         Addresses of relays that lately did not serve the watcher.
+    evacuation_revision
+        Revision of the evacuated data centres that the watcher knows.
     """
 
     watcher: str
@@ -69,6 +72,7 @@
     data_centre: str = ''
     confirmed_ms: int | None = None
     failed_relays: tuple[str, ...] = ()
+    evacuation_revision: int = 0
 
 
 class FeedReply(msgspec.Struct, frozen=True):
@@ -103,6 +107,9 @@
     is_settled
         Whether the sender has run for long enough to know all servers that
         report.
+    evacuations
+        The evacuated data centres; ``None`` if the watcher knows a revision
+        that is at least as high.
     """
 
     position: FeedPosition
@@ -115,6 +122,7 @@
     controls: tuple[str, ...] = ()
     relays: tuple[str, ...] = ()
     is_settled: bool = False
+    evacuations: EvacuationState | None = None
 
 
 class ReceivedReply(NamedTuple):
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -17,6 +17,7 @@
 )
 from mustardhold.tables.constants import MAX_RECENT_OPENINGS
 from mustardhold.tables.directory import Directory, KnownServer
+from mustardhold.tables.evacuations import NO_EVACUATIONS, EvacuationState
 from mustardhold.tables.server_ranking import ServiceServers
 
 # Service port, caller port, service IP, caller IP.
@@ -213,6 +214,8 @@
         When the latest packet of a caller was received.
     last_feed_at
         As of when the configuration in force is known to be the latest one.
+    evacuations
+        Data centres whose servers get no new flows.
     """
 
     data_centre: str = ''
@@ -237,4 +240,5 @@
     opened_flows: list[OpenedFlow] = field(default_factory=list)
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
+    evacuations: EvacuationState = NO_EVACUATIONS
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
