Keep openings away from evacuated data centres

Cause: a balancer stored which data centres are evacuated, but still sent openings to their servers. When an evacuation ends, the servers have no open flows and every balancer returns at about the same time. Servers that start slowly again within an incarnation were known to control instances only, as such a change was not shared.

Change: the index of a service's servers leaves out those of evacuated data centres, so first openings, second copies, repeats and last resorts all avoid them. A service that has ready servers only there gets its openings reset, with the cause `evacuated`; silent servers elsewhere are still tried. After the end, the weights of the servers rise in four steps of a second, from the first opening that follows. A new slow start is shared once: when its end is more than a second later than the shared one. The share of flows that stay in their data centre needs no change, since it counts the data centres that have eligible servers. Gauge `evacuated_data_centres`.

--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -130,6 +130,11 @@
             configuration_version(tables),
         ),
         Gauge('ready_servers', 'Servers that may get new flows', ready),
+        Gauge(
+            'evacuated_data_centres',
+            'Data centres whose servers get no new flows',
+            len(tables.evacuations.data_centres),
+        ),
         Gauge(
             'control_silence_seconds',
             'Time since a current control instance told its state',
--- a/src/mustardhold/systems/directory.py
+++ b/src/mustardhold/systems/directory.py
@@ -13,6 +13,10 @@
 import msgspec
 import xxhash
 
+from mustardhold.systems.shared_changes import (
+    is_new_slow_start,
+    is_shared_change,
+)
 from mustardhold.tables.constants import (
     ENDED_SERVER_RETENTION,
     MAX_BACKEND_SERVERS,
@@ -115,13 +119,18 @@
         # The earlier incarnation stays known by its token, marked as ended.
         known.report = final_report(known.report)
         known = None
-    is_shared = known is None or is_shared_change(known.report, report)
+    slow_until = received_at + report.slow_for_ms / 1000
+    is_shared = (
+        known is None
+        or is_shared_change(known.report, report)
+        or is_new_slow_start(known, slow_until, report)
+    )
     if known is None:
         known = make_server(received_at, report)
         claim_token(directory, known)
     known.report = report
     known.received_at = received_at
-    known.slow_until = received_at + report.slow_for_ms / 1000
+    known.slow_until = slow_until
     if is_shared:
         record_change(directory, known)
     record_heard(directory, known, heard_at)
@@ -129,23 +138,6 @@
         directory.ids_by_address[report.address] = report.server_id
 
 
-def is_shared_change(previous: ServerReport, report: ServerReport) -> bool:
-    """Return whether other processes have to receive a newer report."""
-    return (
-        previous.state,
-        previous.address,
-        previous.service,
-        previous.data_centre,
-        previous.slots,
-    ) != (
-        report.state,
-        report.address,
-        report.service,
-        report.data_centre,
-        report.slots,
-    )
-
-
 def record_heard(
     directory: Directory, known: KnownServer, heard_at: float
 ) -> None:
@@ -164,6 +156,7 @@
     server_id = known.report.server_id
     directory.revision += 1
     known.revision = directory.revision
+    known.shared_slow_until = known.slow_until
     directory.servers_by_id.pop(server_id, None)
     directory.servers_by_id[server_id] = known
 
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from mustardhold.systems.directory import owns_token
+from mustardhold.systems.evacuation import evacuated_names, start_returns
 from mustardhold.systems.outlier_avoidance import is_avoided
 from mustardhold.systems.server_ranking import (
     HASH_RANGE,
@@ -116,7 +117,7 @@
         if now < responsiveness.avoid_until
     )
     return sum(
-        weigh_server(server, now).weight
+        weigh_server(server, now, tables.returned_at).weight
         for server in avoided
         if server is not None and server.token in servers.local_tokens
     )
@@ -127,13 +128,18 @@
 ) -> ServiceServers:
     """Return a service's servers that may get new flows, prepared for ranking.
 
-    They are prepared again after a change of any server, and when the slow
-    start of one ends.
+    They are prepared again after a change of any server or evacuation, and when
+    the weight of a server changes.
     """
     directory = tables.directory
-    revisions = (directory.revision, directory.silent_revision)
+    revisions = (
+        directory.revision,
+        directory.silent_revision,
+        tables.evacuations.revision,
+    )
     if tables.index.revisions != revisions:
-        tables.index = ServiceIndex(revisions, index_ready_servers(tables))
+        start_returns(tables, now)
+        tables.index = make_index(tables, revisions)
     prepared = tables.index.prepared_by_service.get(service)
     if prepared is None or now >= prepared.everywhere.valid_until:
         prepared = prepare_servers(tables, now, service)
@@ -141,6 +147,26 @@
     return prepared
 
 
+def make_index(
+    tables: ForwardingTables, revisions: tuple[int, int, int]
+) -> ServiceIndex:
+    """Index the servers that may get new flows."""
+    ready = index_ready_servers(tables)
+    evacuated = evacuated_names(tables)
+    if not evacuated:
+        return ServiceIndex(revisions, ready)
+    allowed = {
+        service: [
+            server
+            for server in servers
+            if server.report.data_centre not in evacuated
+        ]
+        for service, servers in ready.items()
+    }
+    emptied = (service for service, servers in allowed.items() if not servers)
+    return ServiceIndex(revisions, allowed, frozenset(emptied))
+
+
 def index_ready_servers(
     tables: ForwardingTables,
 ) -> dict[str, list[KnownServer]]:
@@ -171,8 +197,8 @@
     ]
     data_centres = {server.report.data_centre for server in servers}
     return ServiceServers(
-        make_ranking(servers, now),
-        make_ranking(local, now),
+        make_ranking(servers, now, tables.returned_at),
+        make_ranking(local, now, tables.returned_at),
         frozenset(server.token for server in local),
         len(data_centres | {tables.data_centre}),
     )
--- a/src/mustardhold/systems/server_ranking.py
+++ b/src/mustardhold/systems/server_ranking.py
@@ -10,10 +10,14 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import chain
+from types import MappingProxyType
+from typing import Final
 
 import xxhash
 
+from mustardhold.systems.evacuation import next_step_at, returned_share
 from mustardhold.tables.constants import COLD_WEIGHT
 from mustardhold.tables.directory import KnownServer
 from mustardhold.tables.server_ranking import (
@@ -28,23 +32,46 @@
 # Keeps the hashes of groups apart from those of servers.
 GROUP_PREFIX = b'group'
 KEY_BYTES = 4
+NONE_RETURNED: Final[Mapping[str, float]] = MappingProxyType({})
 
 
-def make_ranking(servers: Iterable[KnownServer], now: float) -> ServerRanking:
-    """Prepare servers for ranking."""
-    weighted = [weigh_server(server, now) for server in servers]
+def make_ranking(
+    servers: Iterable[KnownServer],
+    now: float,
+    returned_at: Mapping[str, float] = NONE_RETURNED,
+) -> ServerRanking:
+    """Prepare servers for ranking.
+
+    Parameters
+    ----------
+    returned_at
+        When the weights of a data centre's servers began to rise after its
+        evacuation.
+    """
+    weighted = [weigh_server(server, now, returned_at) for server in servers]
     groups = tuple(divide(weighted))
     return ServerRanking(
         groups,
         sum(group.weight for group in groups),
-        next_weight_change(weighted, now),
+        next_weight_change(weighted, now, returned_at),
     )
 
 
-def weigh_server(server: KnownServer, now: float) -> WeightedServer:
-    """Return a server with its weight, lower in its slow start."""
+def weigh_server(
+    server: KnownServer,
+    now: float,
+    returned_at: Mapping[str, float] = NONE_RETURNED,
+) -> WeightedServer:
+    """Return a server with its weight.
+
+    It is lower in the server's slow start, and after an evacuation of its data
+    centre.
+    """
     slots = server.report.slots
     weight = slots * COLD_WEIGHT if now < server.slow_until else slots
+    since = returned_at.get(server.report.data_centre)
+    if since is not None:
+        weight = min(weight, slots * returned_share(since, now))
     return WeightedServer(server, weight, server.token.to_bytes(KEY_BYTES))
 
 
@@ -71,10 +98,16 @@
         )
 
 
-def next_weight_change(weighted: Iterable[WeightedServer], now: float) -> float:
-    """Return when the first slow start ends."""
+def next_weight_change(
+    weighted: Iterable[WeightedServer],
+    now: float,
+    returned_at: Mapping[str, float] = NONE_RETURNED,
+) -> float:
+    """Return when the first slow start ends, or a returned server's step."""
     ends = (member.server.slow_until for member in weighted)
-    return min((end for end in ends if end > now), default=math.inf)
+    steps = (next_step_at(since, now) for since in returned_at.values())
+    changes = (change for change in chain(ends, steps) if change > now)
+    return min(changes, default=math.inf)
 
 
 def rank_servers(ranking: ServerRanking, flow: bytes) -> Iterator[KnownServer]:
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -93,13 +93,23 @@
     service = choose_service(route, flow)
     chosen = choose_servers(tables, now, service, flow, packet.attempt)
     if not chosen:
-        return Drop(DropCause.NO_SERVER)
+        return decide_without_server(tables, service)
     tokens = tuple(server.token for server in chosen)
     opening = RecentOpening(now, now, packet.attempt, tokens, route.kind)
     record_opening(tables, flow, opening)
     return Forward(chosen, service)
 
 
+def decide_without_server(tables: ForwardingTables, service: str) -> Decision:
+    """Reset an opening of a service that is evacuated; drop any other.
+
+    A caller repeats a dropped opening, by when the service may have a server.
+    """
+    if service in tables.index.evacuated_services:
+        return Reset(DropCause.EVACUATED)
+    return Drop(DropCause.NO_SERVER)
+
+
 def refuse_opening(tables: ForwardingTables, now: float) -> Decision:
     """Reset an opening without a route; drop it if the tables may be old."""
     if now - tables.last_feed_at < FEED_FRESH_PERIOD.total_seconds():
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -110,6 +110,14 @@
 UNRESPONSIVE_AFTER_INTERVALS: Final = 3.0
 SERVERS_PER_OPENING: Final = 2
 COLD_WEIGHT: Final = 0.5
+# Servers of a data centre whose evacuation ended have no open flows, and all
+# balancers return at about the same time: the weights rise by a fifth a second.
+# Each step prepares the ranking of every service again, so there are few.
+RETURN_STEPS: Final = 4
+RETURN_STEP: Final = timedelta(seconds=1)
+# Times of arrival, from which the ends of slow starts are computed, vary by
+# less than this: a report waits for up to one poll of the feed.
+SLOW_START_TOLERANCE: Final = timedelta(seconds=1)
 FEED_WAIT: Final = timedelta(milliseconds=600)
 CONTROL_COALESCING: Final = timedelta(milliseconds=10)
 FEED_COALESCING: Final = timedelta(milliseconds=50)
--- a/src/mustardhold/tables/directory.py
+++ b/src/mustardhold/tables/directory.py
@@ -82,6 +82,9 @@
         Revision of the directory at the latest change of this server.
     slow_until
         End of the slow start, on the local monotonic clock, in seconds.
+    shared_slow_until
+        End of the slow start as of the latest change that other processes
+        received.
     is_unconfirmed
         Whether it was restored from disk, and nobody has confirmed since that
         it still exists: it may have left while the process was down.
@@ -94,6 +97,7 @@
     token: int
     slow_until: float
     is_unconfirmed: bool = False
+    shared_slow_until: float = float('-inf')
 
 
 @dataclass(slots=True)
@@ -108,7 +112,8 @@
         Incarnations that flows may belong to, including ended ones.
     revision
         Number of changes so far that other processes must receive: a new
-        server or restart, or another state, address, service or size.
+        server, restart or slow start, or another state, address, service or
+        size.
     heard_by_token
         Servers that reported to this process itself, the latest last, each
         with the value of ``heard_count`` at its latest report.
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -75,6 +75,7 @@
     NO_TOKEN = 'no-token'
     UNKNOWN_TOKEN = 'unknown-token'
     FLOW_ENDED = 'flow-ended'
+    EVACUATED = 'evacuated'
     LINK_QUEUE_FULL = 'link-queue-full'
     LINK_QUEUE_TIMEOUT = 'link-queue-timeout'
 
@@ -122,16 +123,19 @@
     Attributes
     ----------
     revisions
-        Revisions of the servers and of the silent ones in the directory that
-        the index was built from.
+        Revisions of the servers and of the silent ones in the directory, and of
+        the evacuations, that the index was built from.
+    evacuated_services
+        Services whose ready servers are all in evacuated data centres.
     prepared_by_service
         Services that were asked for since then, prepared for ranking.
     """
 
-    revisions: tuple[int, int] = (-1, -1)
+    revisions: tuple[int, int, int] = (-1, -1, -1)
     servers_by_service: dict[str, list[KnownServer]] = field(
         default_factory=dict
     )
+    evacuated_services: frozenset[str] = frozenset()
     prepared_by_service: dict[str, ServiceServers] = field(default_factory=dict)
 
 
@@ -216,6 +220,9 @@
         As of when the configuration in force is known to be the latest one.
     evacuations
         Data centres whose servers get no new flows.
+    returned_at
+        When the weights of a data centre's servers began to rise after its
+        evacuation; ``NOT_STARTED`` before the first opening since its end.
     """
 
     data_centre: str = ''
@@ -241,4 +248,5 @@
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
+    returned_at: dict[str, float] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
