Limit the openings that cold servers are sent

Cause: where a configuration limits what a cold server bears, balancers ignored the limit and only halved the server's weight.

Change: each balancer keeps to its share of the limit, which is divided by the number of balancers. The whole part of a share is counted in a sliding second. Of the fraction, an opening comes due at times that a hash of the balancer and the server spreads; it is forfeited after 250 ms, since openings that are saved up would all be sent in the first second of a surge. While one is due, flows that rank the server lower are considered as well, so that the server gets its part in spite of the short time. Openings that are held back go to the other servers, whose shares by data centre then leave the cold ones out; `held-back-cold` counts them. A service with cold servers only gets what the limit allows, and the rest is dropped with the cause `cold-limit`. A balancer that does not know the number sends cold servers nothing while there are others; otherwise it keeps to the whole limit by itself. Without a limit, nothing of this is computed and the choice is as before.

--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -64,6 +64,7 @@
 ) -> TokenBalancer:
     """Open the socket for packets, and start with empty tables."""
     tables = ForwardingTables(options.data_centre)
+    tables.cold_limits.name = options.instance_id
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id,
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -6,11 +6,18 @@
 are passed over while there are others.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import replace
 from itertools import islice
 
 import xxhash
 
+from mustardhold.systems.cold_choice import (
+    admit_cold,
+    cold_limit_of,
+    count_cold,
+)
+from mustardhold.systems.cold_limit import forget_windows
 from mustardhold.systems.directory import owns_token
 from mustardhold.systems.evacuation import evacuated_names, start_returns
 from mustardhold.systems.outlier_avoidance import is_avoided
@@ -23,7 +30,7 @@
 from mustardhold.tables.constants import SERVERS_PER_OPENING
 from mustardhold.tables.directory import KnownServer, ServerState
 from mustardhold.tables.forwarding import ForwardingTables, ServiceIndex
-from mustardhold.tables.server_ranking import ServiceServers
+from mustardhold.tables.server_ranking import ColdServers, ServiceServers
 
 # Makes this hash independent of the one that ranks the servers.
 LOCALITY_SEED = 1
@@ -54,6 +61,22 @@
     if len(ranked) < wanted and (attempt or not ranked):
         everything = rank_servers(servers.everywhere, flow)
         ranked += [one for one in everything if is_avoided(tables, now, one)]
+    cold = servers.cold
+    if cold is None:
+        return take_from(ranked, first)
+    admitted, is_held_back = admit_cold(tables, now, cold, flow, wanted)
+    if is_held_back:
+        tables.counters[service, 'held-back-cold'] += 1
+    others = [] if cold.is_last_resort else ranked
+    chosen = take_from(admitted + others, first)
+    count_cold(tables, now, cold, chosen)
+    return chosen
+
+
+def take_from(
+    ranked: Sequence[KnownServer], first: int
+) -> tuple[KnownServer, ...]:
+    """Return the servers for one copy each, from a place in the ranking on."""
     count = min(SERVERS_PER_OPENING, len(ranked))
     return tuple(
         ranked[(first + offset) % len(ranked)] for offset in range(count)
@@ -128,17 +151,19 @@
 ) -> ServiceServers:
     """Return a service's servers that may get new flows, prepared for ranking.
 
-    They are prepared again after a change of any server or evacuation, and when
-    the weight of a server changes.
+    They are prepared again after a change of any server, evacuation or
+    configuration, and when the weight of a server changes.
     """
     directory = tables.directory
     revisions = (
         directory.revision,
         directory.silent_revision,
         tables.evacuations.revision,
+        0 if tables.configuration is None else tables.configuration.version,
     )
     if tables.index.revisions != revisions:
         start_returns(tables, now)
+        forget_windows(tables.cold_limits, now, directory)
         tables.index = make_index(tables, revisions)
     prepared = tables.index.prepared_by_service.get(service)
     if prepared is None or now >= prepared.everywhere.valid_until:
@@ -148,7 +173,7 @@
 
 
 def make_index(
-    tables: ForwardingTables, revisions: tuple[int, int, int]
+    tables: ForwardingTables, revisions: tuple[int, int, int, int]
 ) -> ServiceIndex:
     """Index the servers that may get new flows."""
     ready = index_ready_servers(tables)
@@ -190,15 +215,40 @@
     silent = tables.directory.silent_tokens
     reporting = [server for server in ready if server.token not in silent]
     servers = reporting or ready
+    cold = find_cold(tables, now, service, servers)
+    if cold is not None and not cold.is_last_resort:
+        servers = [one for one in servers if one.token not in cold.tokens]
     local = [
         server
         for server in servers
         if server.report.data_centre == tables.data_centre
     ]
     data_centres = {server.report.data_centre for server in servers}
+    everywhere = make_ranking(servers, now, tables.returned_at)
+    if cold is not None:
+        # The end of a slow start changes the others as well.
+        everywhere = replace(everywhere, valid_until=cold.ranking.valid_until)
     return ServiceServers(
-        make_ranking(servers, now, tables.returned_at),
+        everywhere,
         make_ranking(local, now, tables.returned_at),
         frozenset(server.token for server in local),
         len(data_centres | {tables.data_centre}),
+        cold,
     )
+
+
+def find_cold(
+    tables: ForwardingTables,
+    now: float,
+    service: str,
+    servers: Sequence[KnownServer],
+) -> ColdServers | None:
+    """Return the cold ones of a service's servers if they are limited."""
+    limit = cold_limit_of(tables, service)
+    if not limit:
+        return None
+    tokens = frozenset(one.token for one in servers if now < one.slow_until)
+    if not tokens:
+        return None
+    ranking = make_ranking(servers, now, tables.returned_at)
+    return ColdServers(limit, tokens, ranking, len(tokens) == len(servers))
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -103,10 +103,14 @@
 def decide_without_server(tables: ForwardingTables, service: str) -> Decision:
     """Reset an opening of a service that is evacuated; drop any other.
 
-    A caller repeats a dropped opening, by when the service may have a server.
+    A caller repeats a dropped opening, by when the service may have a server,
+    or one that is not cold.
     """
     if service in tables.index.evacuated_services:
         return Reset(DropCause.EVACUATED)
+    prepared = tables.index.prepared_by_service.get(service)
+    if prepared is not None and prepared.cold is not None:
+        return Drop(DropCause.COLD_LIMIT)
     return Drop(DropCause.NO_SERVER)
 
 
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -115,6 +115,13 @@
 # Each step prepares the ranking of every service again, so there are few.
 RETURN_STEPS: Final = 4
 RETURN_STEP: Final = timedelta(seconds=1)
+# After a quiet time, this adds a quarter of the limit to what the balancers
+# send in a second. The platform tolerates half of it and five; the rest is for
+# balancers whose times happen to be close to each other.
+COLD_OPENING_PERIOD: Final = timedelta(milliseconds=250)
+# Hashes spread the balancers unevenly: with their whole shares of a limit of
+# 10, 80 of them sent 21 openings in the busiest second of a simulation.
+COLD_SHARE_USED: Final = 0.8
 # Times of arrival, from which the ends of slow starts are computed, vary by
 # less than this: a report waits for up to one poll of the feed.
 SLOW_START_TOLERANCE: Final = timedelta(seconds=1)
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from mustardhold.tables.cold_limit import ColdLimits
 from mustardhold.tables.configurations import (
     Configuration,
     RequestKind,
@@ -76,6 +77,7 @@
     UNKNOWN_TOKEN = 'unknown-token'
     FLOW_ENDED = 'flow-ended'
     EVACUATED = 'evacuated'
+    COLD_LIMIT = 'cold-limit'
     LINK_QUEUE_FULL = 'link-queue-full'
     LINK_QUEUE_TIMEOUT = 'link-queue-timeout'
 
@@ -123,15 +125,15 @@
     Attributes
     ----------
     revisions
-        Revisions of the servers and of the silent ones in the directory, and of
-        the evacuations, that the index was built from.
+        Revisions of the servers and of the silent ones in the directory, of the
+        evacuations and of the configuration, that the index was built from.
     evacuated_services
         Services whose ready servers are all in evacuated data centres.
     prepared_by_service
         Services that were asked for since then, prepared for ranking.
     """
 
-    revisions: tuple[int, int, int] = (-1, -1, -1)
+    revisions: tuple[int, int, int, int] = (-1, -1, -1, -1)
     servers_by_service: dict[str, list[KnownServer]] = field(
         default_factory=dict
     )
@@ -249,4 +251,5 @@
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
     returned_at: dict[str, float] = field(default_factory=dict)
+    cold_limits: ColdLimits = field(default_factory=ColdLimits)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
--- a/src/mustardhold/tables/server_ranking.py
+++ b/src/mustardhold/tables/server_ranking.py
@@ -39,6 +39,26 @@
     valid_until: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdServers:
+    """Cold servers of a service whose configuration limits their openings.
+
+    Attributes
+    ----------
+    limit
+        Openings a second for each of them, from all balancers together.
+    ranking
+        All servers of the service that may get new flows.
+    is_last_resort
+        Whether the service has no other servers.
+    """
+
+    limit: float
+    tokens: frozenset[int]
+    ranking: ServerRanking
+    is_last_resort: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceServers:
     """Servers of one service that may get new flows.
@@ -51,9 +71,13 @@
         Tokens of the local ones.
     data_centres
         Number of data centres that have such servers or are the local one.
+    cold
+        Cold servers that are limited, and left out above if there are others;
+        ``None`` if there are none.
     """
 
     everywhere: ServerRanking
     local: ServerRanking
     local_tokens: frozenset[int]
     data_centres: int
+    cold: ColdServers | None = None
