Bring the request history up to date with each view that is installed

Cause: members followed views only at ticks, 0.1 s apart. Change: install_view updates the history. A first view that names an earlier start of this balancer no longer counts as complete history.

--- a/src/mustardhold/systems/leases.py
+++ b/src/mustardhold/systems/leases.py
@@ -78,7 +78,7 @@
         if not lease.members:
             return
         view = make_view(membership, lease.epoch, lease.members)
-        install_view(tables, view)
+        install_view(tables, now, view)
     if lease.placements is not None:
         placements = apply_update(tables.placements, lease.placements)
         if placements is None:
@@ -169,7 +169,7 @@
         return
     view = make_view(membership, message.epoch, message.members)
     lease_group = lease_group_of(tables, message.scope)
-    if install_view(tables, view) and lease_group is not None:
+    if install_view(tables, now, view) and lease_group is not None:
         lease_group.next_renewal_at = now
 
 
@@ -288,7 +288,7 @@
     view = lease_group.view
     if view is None or view.epoch < tables.view.epoch:
         return
-    install_view(tables, view)
+    install_view(tables, now, view)
     if tables.is_stopping or tables.instance_id not in view.members_by_id:
         return
     end = min(coordinator_lease_end(lease_group), now + LEASE_SECONDS)
--- a/src/mustardhold/systems/request_history.py
+++ b/src/mustardhold/systems/request_history.py
@@ -22,7 +22,8 @@
     history = tables.requests.history
     epoch = tables.view.epoch
     if history.epoch != epoch:
-        is_founding = not history.epoch and epoch <= FOUNDING_EPOCH
+        is_first = not history.epoch and epoch <= FOUNDING_EPOCH
+        is_founding = is_first and not is_of_earlier_start(tables)
         is_next = history.epoch is not None and epoch == history.epoch + 1
         is_continuous = is_next or now < history.lease_until
         if history.epoch == NO_EPOCH or not is_continuous:
@@ -34,6 +35,18 @@
     history.lease_until = tables.lease_until
 
 
+def is_of_earlier_start(tables: BalancerTables) -> bool:
+    """Return whether the view names an earlier start of this balancer.
+
+    The requests that it forwarded in that view are not known any more.
+    """
+    membership = tables.membership
+    named = tables.view.incarnations_by_id.get(tables.instance_id)
+    if membership is None or named is None:
+        return False
+    return named != membership.incarnation
+
+
 def update_bucket_history(
     tables: BalancerTables, now: float, bucket: int, *, is_founding: bool
 ) -> None:
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -113,8 +113,8 @@
 def test_an_older_view_is_never_installed():
     tables = make_voter()
     members = {'b3': GROUP[2]}
-    assert install_view(tables, View(4, members, {'b3': 1}))
-    assert not install_view(tables, View(3, members, {'b3': 1}))
+    assert install_view(tables, 0, View(4, members, {'b3': 1}))
+    assert not install_view(tables, 0, View(3, members, {'b3': 1}))
     assert tables.view.epoch == 4
 
 
