Commit evacuation orders in the replicated log

Cause: an operator has to be able to keep new flows from a data centre, and the order has to survive the loss of instances and hold the same on each of them. Change: a command in the log begins or ends an evacuation; the revision of the state is the index of the entry that last changed it. Forwarding to the leader, which configurations had alone, moves to a module of its own for both.

--- a/src/mustardhold/daemons/configuration_handlers.py
+++ b/src/mustardhold/daemons/configuration_handlers.py
@@ -1,117 +1,52 @@
 """Commits and reads whole configurations through the leader."""
 
 import msgspec
-import trio
 
 from mustardhold.adapters.http_app import HandlerRequest, Reply, json_reply
-from mustardhold.adapters.http_client import HttpRequest, send_request
 from mustardhold.daemons.edit_statuses import status_for
-from mustardhold.daemons.replica_node import (
-    AnyOutcome,
-    PendingProposal,
-    ReplicaNode,
-    submit_proposal,
+from mustardhold.daemons.proposals import (
+    Proposal,
+    commit_here,
+    commit_through_leader,
+    read_from_leader,
 )
+from mustardhold.daemons.replica_node import AnyOutcome, ReplicaNode
 from mustardhold.systems import consensus
-from mustardhold.systems.histograms import CONFIGURATION_SECONDS, observe
+from mustardhold.systems.histograms import CONFIGURATION_SECONDS
 from mustardhold.tables.configurations import VersionedDocument
-from mustardhold.tables.consensus import NotLeader, Pending, ReplicaMember
-from mustardhold.tables.constants import CONFIGURATION_TIMEOUT
-from mustardhold.tables.outcomes import Err
-from mustardhold.tables.routing import EditOutcome, NoQuorum, Unknown
+from mustardhold.tables.routing import NoQuorum
 
 CONFIGURATION_PATH = '/configuration'
 
-_outcome_decoder = msgspec.json.Decoder(EditOutcome)
 _document_decoder = msgspec.json.Decoder(VersionedDocument)
 
 
-async def replace_configuration(
-    node: ReplicaNode, document: VersionedDocument
-) -> AnyOutcome:
-    """Commit a configuration on this replica or through the leader."""
-    started_at = node.clock.monotonic()
-    proposed, pending = propose(node, document)
-    if isinstance(proposed, NotLeader):
-        outcome = await forward_configuration(node, proposed.leader, document)
-    else:
-        outcome = await wait_outcome(node, proposed, pending)
-    key = (CONFIGURATION_SECONDS, '', type(outcome).__name__.lower())
-    seconds = node.clock.monotonic() - started_at
-    observe(node.observations.histograms_by_key, key, seconds)
-    return outcome
-
-
-async def wait_outcome(
-    node: ReplicaNode,
-    proposed: consensus.ConfigurationProposalResult,
-    pending: PendingProposal,
-) -> AnyOutcome:
-    """Wait until a proposed configuration is committed or the timeout ends."""
-    if isinstance(proposed, NotLeader):
-        return NoQuorum(None)
-    if not isinstance(proposed, Pending):
-        return proposed
-    with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
-        await pending.done.wait()
-    node.proposals_by_index.pop(proposed.index, None)
-    return pending.outcome
-
-
-def propose(
-    node: ReplicaNode, document: VersionedDocument
-) -> tuple[consensus.ConfigurationProposalResult, PendingProposal]:
-    """Propose a configuration to the local replica.
-
-    Returns
-    -------
-    tuple
-        The immediate result, and the pending proposal that gets the outcome.
-    """
-    return submit_proposal(
-        node,
-        lambda now: consensus.propose_configuration(
-            node.replica, now, document
+def make_proposal(document: VersionedDocument) -> Proposal:
+    """Make the proposal of a configuration."""
+    return Proposal(
+        lambda replica, now: consensus.propose_configuration(
+            replica, now, document
         ),
+        CONFIGURATION_PATH,
+        msgspec.json.encode(document),
     )
 
 
-async def forward_configuration(
-    node: ReplicaNode,
-    leader: ReplicaMember | None,
-    document: VersionedDocument,
+async def replace_configuration(
+    node: ReplicaNode, document: VersionedDocument
 ) -> AnyOutcome:
-    """Forward a configuration to the leader and return its outcome.
-
-    The outcome is unknown if the request may have reached the leader but no
-    valid response came back.
-    """
-    if leader is None:
-        return NoQuorum(None)
-    request = HttpRequest(
-        'POST',
-        leader.http_address,
-        CONFIGURATION_PATH,
-        msgspec.json.encode(document),
-    )
-    response = await send_request(
-        node.http_client, request, CONFIGURATION_TIMEOUT.total_seconds()
+    """Commit a configuration on this replica or through the leader."""
+    return await commit_through_leader(
+        node, make_proposal(document), CONFIGURATION_SECONDS
     )
-    if isinstance(response, Err):
-        is_unsent = response.error.is_unsent
-        return NoQuorum(leader.instance_id) if is_unsent else Unknown()
-    try:
-        return _outcome_decoder.decode(response.value.body)
-    except msgspec.DecodeError:
-        return Unknown()
 
 
 async def handle_forwarded_configuration(
     node: ReplicaNode, request: HandlerRequest
 ) -> Reply:
     """Commit a configuration that another control instance forwarded."""
-    proposed, pending = propose(node, _document_decoder.decode(request.body))
-    outcome = await wait_outcome(node, proposed, pending)
+    document = _document_decoder.decode(request.body)
+    outcome = await commit_here(node, make_proposal(document))
     return json_reply(outcome, status_for(outcome))
 
 
@@ -128,18 +63,9 @@
     result = consensus.read_configuration(node.replica, node.clock.monotonic())
     if isinstance(result, VersionedDocument):
         return result
-    if result.leader is None:
-        return None
-    request = HttpRequest('GET', result.leader.http_address, CONFIGURATION_PATH)
-    response = await send_request(
-        node.http_client, request, CONFIGURATION_TIMEOUT.total_seconds()
+    return await read_from_leader(
+        node, result.leader, CONFIGURATION_PATH, _document_decoder
     )
-    if isinstance(response, Err) or not response.value.is_success:
-        return None
-    try:
-        return _document_decoder.decode(response.value.body)
-    except msgspec.DecodeError:
-        return None
 
 
 async def show_configuration(node: ReplicaNode, _: HandlerRequest) -> Reply:
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -30,6 +30,7 @@
 from mustardhold.tables.consensus import (
     Applied,
     AppliedEdit,
+    AppliedEvacuation,
     Effects,
     Pending,
     Replica,
@@ -86,9 +87,13 @@
     failure
         Error of a failed step; the replica processes nothing after it.
     on_applied
-        Called after each step that applied log entries.
+        Called after each step that applied log entries or a snapshot.
     logged_role
         Role and term at the latest call of ``log_role``.
+    data_centres
+        Data centres that the settings name; only these may be evacuated.
+    logged_revision
+        Revision of the evacuated data centres that was logged last.
     """
 
     options: ControlOptions
@@ -107,6 +112,8 @@
     failure: Exception | None = None
     on_applied: Callable[[], None] = ignore_applied
     logged_role: tuple[Role, int] = (Role.FOLLOWER, 0)
+    data_centres: frozenset[str] = frozenset()
+    logged_revision: int = 0
 
 
 def make_node(
@@ -228,9 +235,9 @@
         complete_proposal(node, applied)
     if effects.applied or effects.snapshot is not None:
         wake_watchers(node.table_publisher)
+        node.on_applied()
     log_role(node)
     if effects.applied:
-        node.on_applied()
         save_commit_index(node)
 
 
@@ -293,6 +300,8 @@
     """Return the outcome of an applied command."""
     if isinstance(applied, AppliedEdit):
         return applied.outcome
+    if isinstance(applied, AppliedEvacuation):
+        return Accepted(applied.revision)
     return Accepted(node.replica.configuration.version)
 
 
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -75,9 +75,8 @@
 )
 
 ProposalResult = EditOutcome | RepeatedEdit | Pending | NotLeader
-ConfigurationProposalResult = (
-    Accepted | NoQuorum | Overloaded | Pending | NotLeader
-)
+CommandProposalResult = NoQuorum | Overloaded | Pending | NotLeader
+ConfigurationProposalResult = Accepted | CommandProposalResult
 
 
 def empty_snapshot() -> Snapshot:
@@ -132,6 +131,7 @@
     replica.log = log
     replica.edits = copy_state(snapshot.edits)
     replica.configuration = snapshot.configuration
+    replica.evacuations = snapshot.evacuations
     replica.commit_index = snapshot.index
     load_members_from_log(replica)
     commit_to(replica, min(commit_index, last_entry(replica).index), Effects())
@@ -294,5 +294,10 @@
     """Return the current configuration if this leader is confirmed."""
     if is_confirmed_leader(replica, now):
         return replica.configuration
+    return reader_elsewhere(replica)
+
+
+def reader_elsewhere(replica: Replica) -> NotLeader:
+    """Name the leader that may answer a read that this replica may not."""
     is_leader = replica.role is Role.LEADER
     return NotLeader(None if is_leader else replica.leader)
--- a/src/mustardhold/systems/control_gauges.py
+++ b/src/mustardhold/systems/control_gauges.py
@@ -5,6 +5,7 @@
 from mustardhold.systems.election import has_lease
 from mustardhold.systems.replica_log import last_entry
 from mustardhold.tables.consensus import Replica
+from mustardhold.tables.evacuations import EvacuationState
 from mustardhold.tables.gauges import Gauge
 
 
@@ -28,3 +29,12 @@
         'Edit ids that are remembered',
         len(replica.edits.records_by_edit_id),
     )
+
+
+def evacuation_gauge(state: EvacuationState) -> Gauge:
+    """Return the gauge of the evacuated data centres."""
+    return Gauge(
+        'evacuated_data_centres',
+        'Data centres whose servers get no new flows',
+        len(state.data_centres),
+    )
--- a/src/mustardhold/systems/replica_log.py
+++ b/src/mustardhold/systems/replica_log.py
@@ -160,7 +160,12 @@
     members = members_at(replica, index)
     edits = copy_state(replica.edits)
     replica.snapshot = Snapshot(
-        index, entry.term, members, edits, replica.configuration
+        index,
+        entry.term,
+        members,
+        edits,
+        replica.configuration,
+        replica.evacuations,
     )
     applied = replica.log[: index + 1 - replica.log[0].index]
     retained_count = count_within(
@@ -180,6 +185,7 @@
     replica.snapshot = snapshot
     replica.edits = copy_state(snapshot.edits)
     replica.configuration = snapshot.configuration
+    replica.evacuations = snapshot.evacuations
     replica.commit_index = snapshot.index
     load_members_from_log(replica)
     effects.snapshot = snapshot
--- a/src/mustardhold/systems/replication.py
+++ b/src/mustardhold/systems/replication.py
@@ -9,6 +9,7 @@
     reset_election_timer,
     voter_uids,
 )
+from mustardhold.systems.evacuation_orders import apply_order
 from mustardhold.systems.replica_log import (
     append_entries,
     drop_entries_after,
@@ -23,9 +24,11 @@
     AppendRequest,
     AppliedConfiguration,
     AppliedEdit,
+    AppliedEvacuation,
     ConfigurationCommand,
     EditCommand,
     Effects,
+    EvacuationCommand,
     LogEntry,
     Progress,
     Replica,
@@ -249,6 +252,8 @@
             apply_edit_command(replica, entry, entry.command, effects)
         elif isinstance(entry.command, ConfigurationCommand):
             apply_configuration(replica, entry, entry.command, effects)
+        elif isinstance(entry.command, EvacuationCommand):
+            apply_evacuation(replica, entry, entry.command, effects)
 
 
 def apply_edit_command(
@@ -277,3 +282,17 @@
     effects.applied.append(
         AppliedConfiguration(entry.index, entry.term, is_newer)
     )
+
+
+def apply_evacuation(
+    replica: Replica,
+    entry: LogEntry,
+    command: EvacuationCommand,
+    effects: Effects,
+) -> None:
+    """Apply a committed evacuation order."""
+    replica.evacuations = apply_order(
+        replica.evacuations, command.order, entry.index
+    )
+    revision = replica.evacuations.revision
+    effects.applied.append(AppliedEvacuation(entry.index, entry.term, revision))
--- a/src/mustardhold/tables/consensus.py
+++ b/src/mustardhold/tables/consensus.py
@@ -10,6 +10,11 @@
 
 from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.edits import EditState
+from mustardhold.tables.evacuations import (
+    NO_EVACUATIONS,
+    EvacuationOrder,
+    EvacuationState,
+)
 from mustardhold.tables.options import GrowthPolicy
 from mustardhold.tables.routing import Edit, EditOutcome, RepeatedEdit
 
@@ -75,7 +80,19 @@
     configuration: VersionedDocument
 
 
-Command = NoOp | EditCommand | MembersCommand | ConfigurationCommand
+class EvacuationCommand(msgspec.Struct, frozen=True, tag='evacuation'):
+    """Begins or ends the evacuation of a data centre."""
+
+    order: EvacuationOrder
+
+
+Command = (
+    NoOp
+    | EditCommand
+    | MembersCommand
+    | ConfigurationCommand
+    | EvacuationCommand
+)
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -101,6 +118,7 @@
     members: Members
     edits: EditState
     configuration: VersionedDocument = NO_DOCUMENT
+    evacuations: EvacuationState = NO_EVACUATIONS
 
 
 class VoteRequest(msgspec.Struct, frozen=True, tag='vote-request'):
@@ -223,7 +241,16 @@
     is_current_version: bool
 
 
-Applied = AppliedEdit | AppliedConfiguration
+@dataclass(frozen=True, slots=True)
+class AppliedEvacuation:
+    """A committed evacuation order, and the revision that results from it."""
+
+    index: int
+    term: int
+    revision: int
+
+
+Applied = AppliedEdit | AppliedConfiguration | AppliedEvacuation
 
 
 @dataclass(slots=True)
@@ -318,6 +345,7 @@
     hellos_by_instance: dict[str, ReceivedHello] = field(default_factory=dict)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
     configuration: VersionedDocument = NO_DOCUMENT
+    evacuations: EvacuationState = NO_EVACUATIONS
     growth: GrowthPolicy | None = None
     leader_commit_index: int = 0
 
