Take evacuation orders and send the state down the feed

Cause: orders come in over the platform's two calls and the internal port, and balancers have to learn of them within seconds, also through relays and after a restart of everything. Change: handlers that check the data centre against the settings, commit the order and log and count its outcome; the feed answers a poll at once if the watcher has an older revision; a copy on disk serves the early feed; a gauge on both programs. Changed settings are handed over whole, as they also name the data centres.

--- a/src/mustardhold/daemons/directory_maintenance.py
+++ b/src/mustardhold/daemons/directory_maintenance.py
@@ -12,7 +12,7 @@
     load_reports,
     save_changes,
 )
-from mustardhold.adapters.document_store import save_document
+from mustardhold.adapters.document_store import save_document, save_evacuations
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
 from mustardhold.systems.directory import merge_report, servers_after
 from mustardhold.systems.liveness import find_silent, update_silent
@@ -23,6 +23,7 @@
     RESTORED_REPORT_AGE,
 )
 from mustardhold.tables.directory import Directory, ServerState
+from mustardhold.tables.evacuations import EvacuationState
 
 FORGET_INTERVAL_SECONDS = 5
 SILENCE_CHECK_SECONDS = 0.2
@@ -36,9 +37,12 @@
     ----------
     configuration
         Returns the configuration in force, of which a copy is kept.
-    saved_revision, saved_version
-        Revision of the directory up to which all changes are on disk, and
-        version of the copy of the configuration.
+    evacuations
+        Returns the evacuated data centres, of which a copy is kept as well.
+    saved_revision, saved_version, saved_evacuations
+        Revision of the directory up to which all changes are on disk, version
+        of the copy of the configuration, and revision of the copy of the
+        evacuated data centres.
     requested, saved
         Set and replaced when a save is requested, and when one has ended.
     """
@@ -46,9 +50,11 @@
     store: DirectoryStore
     directory: Directory
     configuration: Callable[[], VersionedDocument]
+    evacuations: Callable[[], EvacuationState]
     error_reporter: ErrorReporter
     saved_revision: int = 0
     saved_version: int = 0
+    saved_evacuations: int = 0
     requested: trio.Event = field(default_factory=trio.Event)
     saved: trio.Event = field(default_factory=trio.Event)
 
@@ -86,6 +92,7 @@
         saver.requested = trio.Event()
         await save_directory(saver)
         await save_configuration(saver)
+        await save_evacuation_state(saver)
         # Changes that arrive together are saved together.
         await trio.sleep(DIRECTORY_SAVE_PAUSE.total_seconds())
 
@@ -132,6 +139,21 @@
     saver.saved_version = document.version
 
 
+async def save_evacuation_state(saver: DirectorySaver) -> None:
+    """Save a copy of the evacuated data centres, if they have changed."""
+    state = saver.evacuations()
+    if state.revision == saver.saved_evacuations:
+        return
+    try:
+        await trio.to_thread.run_sync(
+            save_evacuations, saver.store.disk, state, abandon_on_cancel=True
+        )
+    except OSError as error:
+        report_error(saver.error_reporter, 'evacuations-not-kept', error)
+        return
+    saver.saved_evacuations = state.revision
+
+
 async def wait_saved(saver: DirectorySaver, revision: int) -> None:
     """Request a save, and wait until a revision of the directory is on disk."""
     saver.requested.set()
--- a/src/mustardhold/daemons/early_feed.py
+++ b/src/mustardhold/daemons/early_feed.py
@@ -23,7 +23,10 @@
 
 from mustardhold.adapters.directory_store import DirectoryStore, load_reports
 from mustardhold.adapters.disk import FolderDisk
-from mustardhold.adapters.document_store import load_document
+from mustardhold.adapters.document_store import (
+    load_document,
+    load_evacuations,
+)
 from mustardhold.adapters.http_cycle import (
     REQUEST_ID,
     find_request_id,
@@ -32,6 +35,7 @@
 from mustardhold.systems.addresses import split_address
 from mustardhold.tables.constants import RESTORED_REPORT_AGE
 from mustardhold.tables.directory import DirectoryRow, ServerReport, ServerState
+from mustardhold.tables.evacuations import EvacuationState
 from mustardhold.tables.feed import (
     DOCUMENT_PATH,
     FEED_PATH,
@@ -125,7 +129,9 @@
         run_id,
         {
             FEED_PATH.encode(): msgspec.json.encode(
-                make_early_reply(run_id, document.version, reports)
+                make_early_reply(
+                    run_id, document.version, reports, load_evacuations(disk)
+                )
             ),
             DOCUMENT_PATH.encode(): msgspec.msgpack.encode(document),
         },
@@ -156,7 +162,10 @@
 
 
 def make_early_reply(
-    run_id: str, version: int, reports: tuple[ServerReport, ...]
+    run_id: str,
+    version: int,
+    reports: tuple[ServerReport, ...],
+    evacuations: EvacuationState,
 ) -> FeedReply:
     """Make the reply to a watcher that knows nothing of this run."""
     age_ms = round(RESTORED_REPORT_AGE.total_seconds() * 1000)
@@ -167,7 +176,13 @@
         )
         for report in newest_by_id.values()
     )
-    return FeedReply(FeedPosition(run_id), rows, version, silent=())
+    return FeedReply(
+        FeedPosition(run_id),
+        rows,
+        version,
+        silent=(),
+        evacuations=evacuations if evacuations.revision else None,
+    )
 
 
 def stop_early_feed(feed: EarlyFeed) -> socket.socket:
--- a/src/mustardhold/daemons/feed_handlers.py
+++ b/src/mustardhold/daemons/feed_handlers.py
@@ -22,6 +22,7 @@
     SNAPSHOT_LIFETIME,
 )
 from mustardhold.tables.directory import Directory
+from mustardhold.tables.evacuations import NO_EVACUATIONS, EvacuationState
 from mustardhold.tables.feed import (
     FeedPosition,
     FeedReply,
@@ -54,6 +55,11 @@
     reply: Reply
 
 
+def no_evacuations() -> EvacuationState:
+    """Return that no data centre is evacuated."""
+    return NO_EVACUATIONS
+
+
 @dataclass(slots=True)
 class FeedPublisher:
     """State that is published, and the processes that poll it.
@@ -69,6 +75,8 @@
         Returns the internal addresses of all known control instances.
     limit
         Number of balancers that may follow this process.
+    evacuations
+        Returns the evacuated data centres that this process knows.
     changed, polled
         Set and replaced at each change and at each poll.
     woken_for
@@ -87,6 +95,7 @@
     controls: Callable[[], tuple[str, ...]]
     clock: Clock
     limit: int
+    evacuations: Callable[[], EvacuationState] = no_evacuations
     watchers_by_name: dict[str, Watcher] = field(default_factory=dict)
     changed: trio.Event = field(default_factory=trio.Event)
     polled: trio.Event = field(default_factory=trio.Event)
@@ -161,12 +170,15 @@
         feed.directory.silent_revision,
         feed.configuration().version,
         feed.controls(),
+        feed.evacuations().revision,
     )
     snapshot = feed.snapshot
     if snapshot is None or not is_usable(snapshot, key, now):
         # Dated back by the longest time for which it may be used.
         held = -SNAPSHOT_LIFETIME.total_seconds()
-        reply = make_reply(feed, watcher, FeedPosition(), query, held)
+        # Watchers that know another state of the evacuations get it as well.
+        anyone = msgspec.structs.replace(query, evacuation_revision=0)
+        reply = make_reply(feed, watcher, FeedPosition(), anyone, held)
         snapshot = Snapshot(key, now, encode_reply(reply))
         feed.snapshot = snapshot
     watcher.controls = feed.controls()
@@ -216,6 +228,8 @@
         return False
     if feed.directory.silent_revision > position.silent_revision:
         return True
+    if feed.evacuations().revision > query.evacuation_revision:
+        return True
     return feed.configuration().version > query.version
 
 
@@ -251,13 +265,30 @@
     if query.is_control:
         heard = tokens_heard_after(directory, position.heard_count)
         return msgspec.structs.replace(reply, heard=heard)
-    if (
-        position.run_id
-        and position.silent_revision == directory.silent_revision
-    ):
-        return reply
-    silent = tuple(sorted(directory.silent_tokens))
-    return msgspec.structs.replace(reply, silent=silent)
+    return msgspec.structs.replace(
+        reply,
+        silent=silent_to_send(feed, position),
+        evacuations=evacuations_to_send(feed, query),
+    )
+
+
+def silent_to_send(
+    feed: FeedPublisher, position: FeedPosition
+) -> tuple[int, ...] | None:
+    """Return the silent servers if they changed since a position."""
+    directory = feed.directory
+    is_known = position.silent_revision == directory.silent_revision
+    if position.run_id and is_known:
+        return None
+    return tuple(sorted(directory.silent_tokens))
+
+
+def evacuations_to_send(
+    feed: FeedPublisher, query: FeedRequest
+) -> EvacuationState | None:
+    """Return the evacuated data centres if a watcher's state is older."""
+    state = feed.evacuations()
+    return state if state.revision > query.evacuation_revision else None
 
 
 def age_of_state(feed: FeedPublisher, now: float) -> int | None:
--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -55,6 +55,7 @@
         identity.data_centre,
         age_of_tables(client),
         failed_relays(client),
+        client.evacuation_revision(),
     )
     request = HttpRequest(
         'POST', address, FEED_PATH, msgspec.json.encode(query)
--- a/src/mustardhold/daemons/feed_state.py
+++ b/src/mustardhold/daemons/feed_state.py
@@ -54,6 +54,11 @@
     serves_feed: bool = False
 
 
+def no_revision() -> int:
+    """Return the revision of a process that takes no evacuations."""
+    return 0
+
+
 @dataclass(slots=True)
 class FeedClient:
     """State of the polls that a process sends to those that it follows.
@@ -72,6 +77,9 @@
         Called with each report that was new.
     on_reply
         Called with each reply after it was merged.
+    evacuation_revision
+        Returns the revision of the evacuated data centres that the process
+        knows; not used for a control instance.
     relay_addresses
         Balancers that a source named as those to follow instead.
     relay_failed_at
@@ -104,6 +112,7 @@
     document_sink: DocumentSink | None
     on_report: Callable[[ServerReport], None]
     on_reply: Callable[[ReceivedReply], None]
+    evacuation_revision: Callable[[], int] = no_revision
     http_client: HttpClient = field(default_factory=HttpClient)
     relay_addresses: set[str] = field(default_factory=set)
     relay_failed_at: dict[str, float] = field(default_factory=dict)
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -25,6 +25,10 @@
 )
 from mustardhold.daemons.early_feed import EarlyFeed, stop_early_feed
 from mustardhold.daemons.error_reporting import report_error
+from mustardhold.daemons.evacuation_handlers import (
+    handle_order,
+    show_evacuations,
+)
 from mustardhold.daemons.feed_client import run_feed_client
 from mustardhold.daemons.feed_handlers import (
     handle_feed_poll,
@@ -43,6 +47,7 @@
     MAX_CONFIGURATION_BYTES,
     MAX_REPLICA_BODY_BYTES,
 )
+from mustardhold.tables.evacuations import EVACUATIONS_PATH
 from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
 
 
@@ -74,6 +79,12 @@
         ('GET', CONFIGURATION_PATH): functools.partial(
             show_configuration, control.node
         ),
+        ('POST', EVACUATIONS_PATH): functools.partial(
+            handle_order, control.node
+        ),
+        ('GET', EVACUATIONS_PATH): functools.partial(
+            show_evacuations, control.node
+        ),
     }
 
 
--- a/src/mustardhold/daemons/registry_metrics.py
+++ b/src/mustardhold/daemons/registry_metrics.py
@@ -2,7 +2,7 @@
 
 from mustardhold.daemons.metrics_server import MetricsSnapshot
 from mustardhold.daemons.replica_node import ReplicaNode
-from mustardhold.systems.control_gauges import control_gauges
+from mustardhold.systems.control_gauges import control_gauges, evacuation_gauge
 from mustardhold.tables.directory import Directory
 from mustardhold.tables.gauges import Gauge
 
@@ -21,6 +21,7 @@
             'Servers in the directory',
             len(directory.servers_by_id),
         ),
+        evacuation_gauge(node.replica.evacuations),
     )
     return MetricsSnapshot(
         dict(node.replica.counters),
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -15,6 +15,7 @@
     restore_directory,
     wait_saved,
 )
+from mustardhold.daemons.evacuation_handlers import log_evacuations
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
     make_run_id,
@@ -78,6 +79,7 @@
         lambda: control_addresses(node),
         clock,
         FEED_WATCHERS_PER_CONTROL,
+        lambda: node.replica.evacuations,
     )
     feed_client = FeedClient(
         WatcherIdentity(
@@ -97,16 +99,21 @@
         store,
         directory,
         lambda: node.replica.configuration,
+        lambda: node.replica.evacuations,
         node.error_reporter,
     )
-    node.on_applied = functools.partial(handle_applied, feed, saver)
+    node.on_applied = functools.partial(handle_applied, node, feed, saver)
+    log_evacuations(node)
     return RegistryControl(
         node, report_interval, directory, saver, feed, feed_client
     )
 
 
-def handle_applied(feed: FeedPublisher, saver: DirectorySaver) -> None:
-    """Publish and save a configuration that has just come into force."""
+def handle_applied(
+    node: ReplicaNode, feed: FeedPublisher, saver: DirectorySaver
+) -> None:
+    """Publish and save what has just come into force."""
+    log_evacuations(node)
     wake_watchers(feed)
     saver.requested.set()
 
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -36,6 +36,7 @@
     send,
 )
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
+from mustardhold.systems.control_gauges import evacuation_gauge
 from mustardhold.systems.draining import Drain, is_drained
 from mustardhold.systems.link_queue import (
     is_empty,
@@ -84,6 +85,7 @@
         ),
         functools.partial(log_report, log),
         lambda received: handle_feed_reply(balancer, received),
+        lambda: tables.evacuations.revision,
     )
     feed = FeedPublisher(
         make_run_id(),
@@ -93,6 +95,7 @@
         lambda: tuple(sorted(feed_client.known_addresses)),
         clock,
         FEED_WATCHERS_PER_BALANCER,
+        lambda: tables.evacuations,
     )
     balancer = TokenBalancer(
         options,
@@ -135,6 +138,7 @@
             'Time since a current control instance told its state',
             balancer.clock.monotonic() - tables.last_feed_at,
         ),
+        evacuation_gauge(tables.evacuations),
     ]
     if balancer.link is not None:
         gauges.extend(make_link_gauges(balancer.link.queue))
--- a/src/mustardhold/daemons/token_tables.py
+++ b/src/mustardhold/daemons/token_tables.py
@@ -5,6 +5,8 @@
 from mustardhold.daemons.feed_handlers import wake_if_changed, wake_watchers
 from mustardhold.daemons.packet_loop import handle_guarded
 from mustardhold.daemons.token_packets import TokenBalancer, handle_datagram
+from mustardhold.systems.directory import whole_milliseconds
+from mustardhold.systems.evacuation import install_evacuations
 from mustardhold.systems.startup_queue import pop_held_packets
 from mustardhold.systems.token_forwarding import (
     configuration_version,
@@ -52,12 +54,40 @@
     Then release the held packets if the tables are complete.
     """
     tables = balancer.tables
+    receive_evacuations(balancer, received)
     if received.reply.version <= configuration_version(tables):
         tables.last_feed_at = max(tables.last_feed_at, received.confirmed_at)
     wake_if_changed(balancer.feed)
     release_held_packets(balancer)
 
 
+def receive_evacuations(
+    balancer: TokenBalancer, received: ReceivedReply
+) -> None:
+    """Install the evacuated data centres of a reply, and log a change.
+
+    A reply that was held up on its way may carry an older state, which is
+    ignored.
+    """
+    state = received.reply.evacuations
+    if state is None:
+        return
+    known_revision = balancer.tables.evacuations.revision
+    install_evacuations(balancer.tables, state)
+    if balancer.tables.evacuations.revision == known_revision:
+        return
+    wake_watchers(balancer.feed)
+    age = balancer.clock.monotonic() - received.made_at
+    balancer.log.info(
+        'evacuated data centres changed',
+        extra={
+            'revision': state.revision,
+            'evacuated': [one.name for one in state.data_centres],
+            'reply_ms_ago': whole_milliseconds(age),
+        },
+    )
+
+
 def release_held_packets(balancer: TokenBalancer) -> None:
     """Handle the held packets once the first tables have arrived."""
     if not balancer.tables.held_by_key or not is_ready(balancer.tables):
--- a/src/mustardhold/platform/balancer.py
+++ b/src/mustardhold/platform/balancer.py
@@ -18,7 +18,11 @@
 from mustardhold.daemons.token_packets import Codecs, TokenBalancer
 from mustardhold.platform.configurations import read_configuration
 from mustardhold.platform.packets import make_packet_codec
-from mustardhold.platform.settings import NodeSettings, read_balancer_options
+from mustardhold.platform.settings import (
+    NodeSettings,
+    control_addresses,
+    read_balancer_options,
+)
 from mustardhold.platform.starting import run_program, watch_settings
 from mustardhold.systems.token_forwarding import is_ready
 
@@ -51,7 +55,9 @@
             watch_settings,
             settings,
             log,
-            balancer.feed_client.known_addresses.update,
+            lambda changed: balancer.feed_client.known_addresses.update(
+                control_addresses(changed)
+            ),
         ),
     )
 
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -1,6 +1,7 @@
 """The control program of the platform."""
 
 import functools
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from logging import Logger
 
@@ -19,6 +20,7 @@
 )
 from mustardhold.daemons.control_addresses import add_control_addresses
 from mustardhold.daemons.early_feed import EarlyFeed
+from mustardhold.daemons.evacuation_handlers import refuse_order, submit_order
 from mustardhold.daemons.registry_control import (
     PublicHandlers,
     ServedAddresses,
@@ -29,6 +31,7 @@
     make_control,
     share_report,
 )
+from mustardhold.daemons.replica_node import AnyOutcome
 from mustardhold.platform.configurations import (
     find_unknown_kinds,
     validate_document,
@@ -36,20 +39,25 @@
 from mustardhold.platform.reports import read_leave, read_report
 from mustardhold.platform.settings import (
     NodeSettings,
+    control_addresses,
     metrics_address,
     read_control_options,
+    read_data_centres,
     read_growth_policy,
     read_report_interval,
 )
 from mustardhold.platform.starting import run_program, watch_settings
 from mustardhold.systems.directory import final_report
 from mustardhold.tables.constants import MAX_CONFIGURATION_BYTES
+from mustardhold.tables.evacuations import EvacuationAction, EvacuationOrder
 from mustardhold.tables.outcomes import Err
-from mustardhold.tables.routing import Accepted
+from mustardhold.tables.routing import Accepted, Finding, Refused
 
 EMPTY_JSON = b'{}'
 REPLACE_PATH = '/api/configuration/replace'
 
+ControlHandler = Callable[[RegistryControl, HandlerRequest], Awaitable[Reply]]
+
 
 async def handle_report(
     control: RegistryControl, request: HandlerRequest
@@ -134,13 +142,38 @@
     return Reply(HTTPStatus.OK, unpacked.value, JSON_TYPE)
 
 
+async def handle_evacuation(
+    action: EvacuationAction, control: RegistryControl, request: HandlerRequest
+) -> Reply:
+    """Begin or end the evacuation of a data centre."""
+    if request.body:
+        order = EvacuationOrder(
+            request.name, action, control.node.options.instance_id
+        )
+        findings = (Finding('body', 'must be empty'),)
+        outcome: AnyOutcome = refuse_order(control.node, order, findings)
+    else:
+        outcome = await submit_order(control.node, request.name, action)
+    if isinstance(outcome, Accepted):
+        return Reply(HTTPStatus.OK, EMPTY_JSON)
+    if isinstance(outcome, Refused):
+        return refuse_all(outcome.findings)
+    return refuse('', 'no majority', HTTPStatus.SERVICE_UNAVAILABLE)
+
+
 def make_handlers(control: RegistryControl) -> PublicHandlers:
     """Return the HTTP handlers that backend servers and operators call."""
-    handlers = {
+    handlers: Mapping[tuple[str, str], ControlHandler] = {
         ('POST', '/api/instances/*/heartbeat'): handle_report,
         ('POST', '/api/instances/*/leave'): handle_leave,
         ('POST', REPLACE_PATH): handle_configuration,
         ('GET', '/api/configuration/get'): show_configuration,
+        ('POST', '/api/evacuation/*/start'): functools.partial(
+            handle_evacuation, EvacuationAction.EVACUATE
+        ),
+        ('POST', '/api/evacuation/*/end'): functools.partial(
+            handle_evacuation, EvacuationAction.RESTORE
+        ),
     }
     return PublicHandlers(
         {
@@ -151,6 +184,14 @@
     )
 
 
+def apply_settings(control: RegistryControl, settings: NodeSettings) -> None:
+    """Apply settings that have changed."""
+    control.node.data_centres = read_data_centres(settings)
+    add_control_addresses(
+        control.node, control.feed_client, control_addresses(settings)
+    )
+
+
 async def run_control(
     early_feed: EarlyFeed | None, settings: NodeSettings, log: Logger
 ) -> None:
@@ -162,6 +203,7 @@
         SystemClock(),
         log,
     )
+    control.node.data_centres = read_data_centres(settings)
     await run_registry_control(
         control,
         make_handlers(control),
@@ -172,9 +214,7 @@
             watch_settings,
             settings,
             log,
-            functools.partial(
-                add_control_addresses, control.node, control.feed_client
-            ),
+            functools.partial(apply_settings, control),
         ),
         early_feed,
     )
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -1,6 +1,7 @@
 """The JSON settings file that the platform writes for each process."""
 
 import os
+from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
 
@@ -67,6 +68,9 @@
     ----------
     zone
         The instance's data centre.
+    zones
+        Region of each data centre, by name. Settings of another form must not
+        keep an instance from starting.
     internal_port_range
         First and last port for traffic between mustardhold's processes.
     seeds
@@ -87,6 +91,7 @@
     fault_tolerance: FaultTolerance = FaultTolerance()
     bounds: Bounds = Bounds()
     limits: InstanceLimits = InstanceLimits()
+    zones: object = None
 
 
 _decoder = msgspec.json.Decoder(NodeSettings)
@@ -144,6 +149,12 @@
     )
 
 
+def read_data_centres(settings: NodeSettings) -> frozenset[str]:
+    """Return the names of all data centres; none if they are not a mapping."""
+    zones = settings.zones
+    return frozenset(zones if isinstance(zones, Mapping) else ())
+
+
 def read_report_interval(settings: NodeSettings) -> timedelta:
     """Return the interval between two reports of a backend server."""
     return timedelta(milliseconds=settings.heartbeat_interval_ms)
--- a/src/mustardhold/platform/starting.py
+++ b/src/mustardhold/platform/starting.py
@@ -11,7 +11,6 @@
 from mustardhold.platform.exit_codes import EXIT_OK, EXIT_USAGE
 from mustardhold.platform.settings import (
     NodeSettings,
-    control_addresses,
     load_settings,
 )
 from mustardhold.tables.outcomes import Err
@@ -43,15 +42,14 @@
 async def watch_settings(
     settings: NodeSettings,
     log: Logger,
-    on_addresses_changed: Callable[[tuple[str, ...]], None],
+    on_changed: Callable[[NodeSettings], None],
 ) -> None:
     """Reload the settings on SIGHUP and at a fixed interval.
 
     Parameters
     ----------
-    on_addresses_changed
-        Called with the internal addresses of the control instances in the
-        changed settings.
+    on_changed
+        Called with the changed settings.
     """
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
         while True:
@@ -65,5 +63,5 @@
                 )
             elif loaded.value != settings:
                 settings = loaded.value
-                on_addresses_changed(control_addresses(settings))
+                on_changed(settings)
                 log.info('settings reloaded', extra={'seeds': settings.seeds})
