Add the command data-centre to evacuate and restore data centres

Cause: operators need a command for orders that a load balancer of their own takes, apart from the calls of the platform. Change: evacuate, restore and list at the internal port of control instances. An order goes to one address after the other for some seconds, longer than an election takes, until it is acknowledged or refused. Edits share that loop. Result: without an instance at the address, list exits with 1, and an order without a name with 2.

--- a/src/mustardhold/cli.py
+++ b/src/mustardhold/cli.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from mustardhold.commands.check import run_check
+from mustardhold.commands.data_centres import run_data_centre
 from mustardhold.commands.edits import run_edit
 from mustardhold.commands.explain import run_explain
 from mustardhold.commands.parser import make_parser
@@ -21,6 +22,7 @@
     'route': run_edit,
     'pool': run_edit,
     'replica': run_replica,
+    'data-centre': run_data_centre,
     'status': run_status,
     'explain': run_explain,
     'trace': run_trace,
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -2,10 +2,19 @@
 
 import argparse
 from pathlib import Path
+from types import MappingProxyType
 
+from mustardhold.tables.evacuations import EvacuationAction
 from mustardhold.tables.routing import Weighting
 
 DEFAULT_WINDOW_SECONDS = 5.0
+DATA_CENTRE_ACTIONS = MappingProxyType(
+    {
+        EvacuationAction.EVACUATE: 'send no new flows to its servers',
+        EvacuationAction.RESTORE: 'revoke the evacuation',
+        'list': 'list the evacuated data centres',
+    }
+)
 EPILOG = """\
 examples:
   mustardhold check balancer.yaml control.yaml
@@ -13,6 +22,7 @@
   mustardhold control --settings control.yaml
   mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
   mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
+  mustardhold data-centre evacuate berlin-1 --control 10.1.0.5:7100
   mustardhold status --at 127.0.0.1:7101 --at 127.0.0.1:7102
   mustardhold explain 198.51.100.7:40000,10.20.0.2:443 --at 127.0.0.1:7101
   mustardhold trace 198.51.100.7:40000 --logs balancer-*.log control-*.log
@@ -46,6 +56,9 @@
     add_replica(
         commands.add_parser('replica', help='replace a control replica')
     )
+    add_data_centre(
+        commands.add_parser('data-centre', help='evacuate a data centre')
+    )
     add_status(commands.add_parser('status', help='show the fleet'))
     add_explain(
         commands.add_parser('explain', help='show decisions and their reasons')
@@ -81,6 +94,22 @@
     command.add_argument('--control', action='append', required=True)
 
 
+def add_data_centre(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``data-centre``."""
+    actions = command.add_subparsers(dest='action', required=True)
+    for action, description in DATA_CENTRE_ACTIONS.items():
+        added = actions.add_parser(action, help=description)
+        if action != 'list':
+            added.add_argument('name')
+        added.add_argument(
+            '--control',
+            action='append',
+            required=True,
+            metavar='INTERNAL-ADDRESS',
+            help='a control instance; repeat for each',
+        )
+
+
 def add_status(command: argparse.ArgumentParser) -> None:
     """Add the arguments of ``status``."""
     add_targets(command)
--- a/src/mustardhold/daemons/operator_client.py
+++ b/src/mustardhold/daemons/operator_client.py
@@ -1,8 +1,9 @@
 """HTTP client for the operators' commands."""
 
 import itertools
+import time
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import httpx
 import msgspec
@@ -91,10 +92,38 @@
         The outcome of the edit; unknown if one of the tries may have been
         committed, and an error if no replica was reached at all.
     """
+    body = msgspec.json.encode(edit)
+    return send_until_certain(
+        addresses, lambda address: post(address, '/edits', body), tries
+    )
+
+
+def send_until_certain(
+    addresses: Sequence[str],
+    post_to: Callable[[str], Outcome[AnyOutcome, str]],
+    tries: int,
+    pause_seconds: float = 0,
+) -> Outcome[AnyOutcome, str]:
+    """Post to one address after the other until the outcome is certain.
+
+    Parameters
+    ----------
+    pause_seconds
+        Time between two tries.
+
+    Returns
+    -------
+    Outcome
+        As for ``send_edit``.
+    """
     reasons: list[str] = []
     latest: AnyOutcome | None = None
-    for address in itertools.islice(itertools.cycle(addresses), tries):
-        posted = post_edit(address, edit)
+    for attempt, address in enumerate(
+        itertools.islice(itertools.cycle(addresses), tries)
+    ):
+        if attempt:
+            time.sleep(pause_seconds)
+        posted = post_to(address)
         if isinstance(posted, Err):
             reasons.append(f'{address}: {posted.error}')
             continue
@@ -106,16 +135,16 @@
     return Err('; '.join(reasons) or 'no control address')
 
 
-def post_edit(address: str, edit: Edit) -> Outcome[AnyOutcome, str]:
-    """Post an edit to one replica.
+def post(address: str, path: str, body: bytes) -> Outcome[AnyOutcome, str]:
+    """Post an edit or an order to one replica.
 
     A request that may have reached the replica without a valid response has
     an unknown outcome.
     """
     try:
         reply = httpx.post(
-            f'http://{address}/edits',
-            content=msgspec.json.encode(edit),
+            f'http://{address}{path}',
+            content=body,
             timeout=TIMEOUT_SECONDS,
         )
     except (httpx.ConnectError, httpx.ConnectTimeout) as error:
