--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -19,6 +19,7 @@
 from mustardhold.tables.consensus import (
     Applied,
     AppliedEdit,
+    AppliedEvacuation,
     Effects,
     NotLeader,
     Pending,
@@ -51,6 +52,7 @@
 TICK_SECONDS = 0.05
 AnyOutcome = EditOutcome | RepeatedEdit
 Reply = Callable[[AnyOutcome], None]
+Propose = Callable[[Replica, float], tuple[consensus.ProposalResult, Effects]]
 
 
 @dataclass(slots=True)
@@ -299,6 +301,8 @@
     """Return the outcome of an applied command."""
     if isinstance(applied, AppliedEdit):
         return applied.outcome
+    if isinstance(applied, AppliedEvacuation):
+        return Accepted(applied.revision)
     return Accepted(applied.index)
 
 
@@ -329,18 +333,27 @@
         perform_effects(group, node, effects)
 
 
-def submit(
-    group: Group, name: str, edit: Edit, reply: Reply, hops: int = 1
-) -> None:
+def submit(group: Group, name: str, edit: Edit, reply: Reply) -> None:
     """Propose an edit at a process, or forward it to the known leader."""
-    node = group.nodes_by_name[name]
-    if node.replica is None:
-        return
     if not group.is_deduplicating:
         group.renamed_edits += 1
         edit = with_edit_id(edit, f'{edit.edit_id}#{group.renamed_edits}')
-    now = group.queue.now
-    proposed, effects = consensus.propose_edit(node.replica, now, edit, now)
+    submit_command(
+        group,
+        name,
+        lambda replica, now: consensus.propose_edit(replica, now, edit, now),
+        reply,
+    )
+
+
+def submit_command(
+    group: Group, name: str, propose: Propose, reply: Reply, hops: int = 1
+) -> None:
+    """Propose a command at a process, or forward it to the known leader."""
+    node = group.nodes_by_name[name]
+    if node.replica is None:
+        return
+    proposed, effects = propose(node.replica, group.queue.now)
     if isinstance(proposed, Pending):
         node.replies_by_index[proposed.index] = (proposed.term, reply)
     perform_effects(group, node, effects)
@@ -349,21 +362,21 @@
         if leader is None or not hops:
             reply(NoQuorum(None))
             return
-        forward_edit(group, name, leader.instance_id, edit, reply)
+        forward_command(group, name, leader.instance_id, propose, reply)
     elif not isinstance(proposed, Pending):
         reply(proposed)
 
 
-def forward_edit(
-    group: Group, name: str, leader: str, edit: Edit, reply: Reply
+def forward_command(
+    group: Group, name: str, leader: str, propose: Propose, reply: Reply
 ) -> None:
-    """Forward an edit to the leader and its outcome back to the process."""
+    """Forward a command to the leader and its outcome back to the process."""
 
     def forward_reply(outcome: AnyOutcome) -> None:
         send(group.network, leader, name, lambda: reply(outcome))
 
     def deliver() -> None:
-        submit(group, leader, edit, forward_reply, hops=0)
+        submit_command(group, leader, propose, forward_reply, hops=0)
 
     send(
         group.network, name, leader, lambda: run_on_node(group, leader, deliver)
