Count the balancers through the feed

Cause: balancers divide the limit of a cold server by their number, which nobody told them. A control instance sees only the watchers that follow it: each balancer follows two sources, and some follow other balancers only.

Change: a balancer divides itself and its followers equally among its sources (`FeedRequest.balancers`), and control instances tell each other the part that follows them, so that the sum is the number of balancers whatever the tree. It goes down in `FeedReply.balancers`; relays pass on the one of their most recent source. A balancer keeps the last number that it knew. Gauge `known_balancers`. The gauge `evacuated_data_centres` was listed twice after a merge.

Result: in simulated trees with 5 and 82 of 82 balancers at one and at six control instances, the count is 82. The tests of the feed pass. Not run with processes.

--- a/src/mustardhold/daemons/feed_handlers.py
+++ b/src/mustardhold/daemons/feed_handlers.py
@@ -14,6 +14,7 @@
 from mustardhold.adapters.http_app import HandlerRequest, Reply, json_reply
 from mustardhold.systems.directory import rows_after, whole_milliseconds
 from mustardhold.systems.feed_tree import admit_watcher, coalescing_pause
+from mustardhold.systems.fleet_count import count_followers
 from mustardhold.systems.liveness import tokens_heard_after
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.constants import (
@@ -77,6 +78,8 @@
         Number of balancers that may follow this process.
     evacuations
         Returns the evacuated data centres that this process knows.
+    balancers
+        Returns the number of balancers, or 0 if it is not known.
     changed, polled
         Set and replaced at each change and at each poll.
     woken_for
@@ -96,6 +99,7 @@
     clock: Clock
     limit: int
     evacuations: Callable[[], EvacuationState] = no_evacuations
+    balancers: Callable[[], float] = float
     watchers_by_name: dict[str, Watcher] = field(default_factory=dict)
     changed: trio.Event = field(default_factory=trio.Event)
     polled: trio.Event = field(default_factory=trio.Event)
@@ -264,11 +268,13 @@
     )
     if query.is_control:
         heard = tokens_heard_after(directory, position.heard_count)
-        return msgspec.structs.replace(reply, heard=heard)
+        followers = count_followers(feed.watchers_by_name.values())
+        return msgspec.structs.replace(reply, heard=heard, balancers=followers)
     return msgspec.structs.replace(
         reply,
         silent=silent_to_send(feed, position),
         evacuations=evacuations_to_send(feed, query),
+        balancers=feed.balancers(),
     )
 
 
--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -12,6 +12,7 @@
     token_of,
     whole_milliseconds,
 )
+from mustardhold.systems.fleet_count import part_for_source
 from mustardhold.systems.liveness import (
     agree_on_silent,
     refresh_heard,
@@ -56,6 +57,7 @@
         age_of_tables(client),
         failed_relays(client),
         client.evacuation_revision(),
+        part_for_source(client.followers(), len(client.sources_by_address)),
     )
     request = HttpRequest(
         'POST', address, FEED_PATH, msgspec.json.encode(query)
@@ -168,4 +170,5 @@
         source.silent = frozenset(reply.silent)
     source.position = reply.position
     source.version = reply.version
+    source.balancers = reply.balancers
     source.confirmed_at = max(source.confirmed_at, received.confirmed_at)
--- a/src/mustardhold/daemons/feed_state.py
+++ b/src/mustardhold/daemons/feed_state.py
@@ -80,6 +80,8 @@
     evacuation_revision
         Returns the revision of the evacuated data centres that the process
         knows; not used for a control instance.
+    followers
+        Returns the part of the balancers that follows this process.
     relay_addresses
         Balancers that a source named as those to follow instead.
     relay_failed_at
@@ -113,6 +115,7 @@
     on_report: Callable[[ServerReport], None]
     on_reply: Callable[[ReceivedReply], None]
     evacuation_revision: Callable[[], int] = no_revision
+    followers: Callable[[], float] = float
     http_client: HttpClient = field(default_factory=HttpClient)
     relay_addresses: set[str] = field(default_factory=set)
     relay_failed_at: dict[str, float] = field(default_factory=dict)
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -28,15 +28,18 @@
 from mustardhold.daemons.report_logs import log_report
 from mustardhold.systems import consensus
 from mustardhold.systems.election import majority_size
+from mustardhold.systems.fleet_count import count_fleet, count_followers
 from mustardhold.systems.histograms import REPORT_SECONDS, observe
 from mustardhold.systems.liveness import receive_report
 from mustardhold.tables.constants import (
     FEED_WATCHERS_PER_CONTROL,
     LEAVE_TIMEOUT,
     MAX_REPLICAS,
+    SETTLING_PERIOD,
 )
 from mustardhold.tables.directory import Directory, ServerReport, ServerState
 from mustardhold.tables.feed import NEVER_CONFIRMED
+from mustardhold.tables.fleet_count import FleetCount
 from mustardhold.tables.options import ControlOptions, GrowthPolicy
 
 
@@ -80,7 +83,9 @@
         clock,
         FEED_WATCHERS_PER_CONTROL,
         lambda: node.replica.evacuations,
+        lambda: known_balancers(fleet, feed, feed_client),
     )
+    fleet = FleetCount()
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id, options.data_centre, options.http_address
@@ -109,6 +114,19 @@
     )
 
 
+def known_balancers(
+    fleet: FleetCount, feed: FeedPublisher, client: FeedClient
+) -> int:
+    """Return the number of balancers; 0 until they had time to poll."""
+    now = feed.clock.monotonic()
+    followers = count_followers(feed.watchers_by_name.values())
+    count = count_fleet(
+        fleet, now, followers, client.sources_by_address.values()
+    )
+    is_settled = now - feed.started_at > SETTLING_PERIOD.total_seconds()
+    return count if is_settled else 0
+
+
 def handle_applied(
     node: ReplicaNode, feed: FeedPublisher, saver: DirectorySaver
 ) -> None:
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -38,6 +38,7 @@
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
 from mustardhold.systems.control_gauges import evacuation_gauge
 from mustardhold.systems.draining import Drain, is_drained
+from mustardhold.systems.fleet_count import count_followers
 from mustardhold.systems.link_queue import (
     is_empty,
     make_link_gauges,
@@ -87,6 +88,7 @@
         functools.partial(log_report, log),
         lambda received: handle_feed_reply(balancer, received),
         lambda: tables.evacuations.revision,
+        lambda: count_followers(feed.watchers_by_name.values()),
     )
     feed = FeedPublisher(
         make_run_id(),
@@ -97,6 +99,7 @@
         clock,
         FEED_WATCHERS_PER_BALANCER,
         lambda: tables.evacuations,
+        lambda: tables.cold_limits.balancers,
     )
     balancer = TokenBalancer(
         options,
@@ -134,17 +137,17 @@
             configuration_version(tables),
         ),
         Gauge('ready_servers', 'Servers that may get new flows', ready),
-        Gauge(
-            'evacuated_data_centres',
-            'Data centres whose servers get no new flows',
-            len(tables.evacuations.data_centres),
-        ),
         Gauge(
             'control_silence_seconds',
             'Time since a current control instance told its state',
             balancer.clock.monotonic() - tables.last_feed_at,
         ),
         evacuation_gauge(tables.evacuations),
+        Gauge(
+            'known_balancers',
+            'Balancers that share the limits of cold servers',
+            tables.cold_limits.balancers,
+        ),
     ]
     if balancer.link is not None:
         gauges.extend(make_link_gauges(balancer.link.queue))
--- a/src/mustardhold/daemons/token_tables.py
+++ b/src/mustardhold/daemons/token_tables.py
@@ -7,6 +7,7 @@
 from mustardhold.daemons.token_packets import TokenBalancer, handle_datagram
 from mustardhold.systems.directory import whole_milliseconds
 from mustardhold.systems.evacuation import install_evacuations
+from mustardhold.systems.fleet_count import newest_count
 from mustardhold.systems.startup_queue import pop_held_packets
 from mustardhold.systems.token_forwarding import (
     configuration_version,
@@ -55,6 +56,10 @@
     """
     tables = balancer.tables
     receive_evacuations(balancer, received)
+    tables.cold_limits.balancers = newest_count(
+        balancer.feed_client.sources_by_address.values(),
+        tables.cold_limits.balancers,
+    )
     if received.reply.version <= configuration_version(tables):
         tables.last_feed_at = max(tables.last_feed_at, received.confirmed_at)
     wake_if_changed(balancer.feed)
--- a/src/mustardhold/systems/feed_tree.py
+++ b/src/mustardhold/systems/feed_tree.py
@@ -59,6 +59,7 @@
     watcher.data_centre = query.data_centre
     watcher.is_up_to_date = is_up_to_date(query)
     watcher.polled_at = now
+    watcher.balancers = query.balancers
     return ()
 
 
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -122,6 +122,8 @@
 # Hashes spread the balancers unevenly: with their whole shares of a limit of
 # 10, 80 of them sent 21 openings in the busiest second of a simulation.
 COLD_SHARE_USED: Final = 0.8
+# Longer than a balancer takes to follow another source after one has failed.
+BALANCER_COUNT_PERIOD: Final = timedelta(seconds=5)
 # Times of arrival, from which the ends of slow starts are computed, vary by
 # less than this: a report waits for up to one poll of the feed.
 SLOW_START_TOLERANCE: Final = timedelta(seconds=1)
--- a/src/mustardhold/tables/feed.py
+++ b/src/mustardhold/tables/feed.py
@@ -62,6 +62,9 @@
         Addresses of relays that lately did not serve the watcher.
     evacuation_revision
         Revision of the evacuated data centres that the watcher knows.
+    balancers
+        Part of the watcher, and of the balancers that follow it, that the
+        sender counts; not used for a control instance.
     """
 
     watcher: str
@@ -73,6 +76,7 @@
     confirmed_ms: int | None = None
     failed_relays: tuple[str, ...] = ()
     evacuation_revision: int = 0
+    balancers: float = 1
 
 
 class FeedReply(msgspec.Struct, frozen=True):
@@ -110,6 +114,9 @@
     evacuations
         The evacuated data centres; ``None`` if the watcher knows a revision
         that is at least as high.
+    balancers
+        Number of balancers, 0 if unknown; for control instances, the part of it
+        that follows the sender.
     """
 
     position: FeedPosition
@@ -123,6 +130,7 @@
     relays: tuple[str, ...] = ()
     is_settled: bool = False
     evacuations: EvacuationState | None = None
+    balancers: float = 0
 
 
 class ReceivedReply(NamedTuple):
@@ -163,6 +171,9 @@
         Version of its configuration; 0 if it has none.
     confirmed_at
         When its state was last known to be up to date; local clock, in seconds.
+    balancers
+        Number of balancers that it knows; of a control instance to another, the
+        part that follows it.
     """
 
     position: FeedPosition = field(default_factory=FeedPosition)
@@ -170,6 +181,7 @@
     missing: frozenset[int] = frozenset()
     version: int = 0
     confirmed_at: float = NEVER_CONFIRMED
+    balancers: float = 0
 
 
 @dataclass(slots=True)
@@ -189,6 +201,8 @@
         Whether its own state was recent at its last poll.
     polled_at
         When its last poll was received; local clock, in seconds.
+    balancers
+        Part of the balancers that is counted for it.
     """
 
     is_control: bool = False
@@ -198,3 +212,4 @@
     data_centre: str = ''
     is_up_to_date: bool = False
     polled_at: float = float('-inf')
+    balancers: float = 0
--- /dev/null
+++ b/tests/test_fleet_count.py
@@ -0,0 +1,68 @@
+"""The number of balancers, counted by control instances through a tree."""
+
+import random
+
+import pytest
+
+from mustardhold.systems.fleet_count import (
+    count_fleet,
+    count_followers,
+    newest_count,
+    part_for_source,
+)
+from mustardhold.tables.constants import BALANCER_COUNT_PERIOD
+from mustardhold.tables.feed import FeedSource, Watcher
+from mustardhold.tables.fleet_count import FleetCount
+
+PERIOD = BALANCER_COUNT_PERIOD.total_seconds()
+
+
+@pytest.mark.parametrize('controls', [1, 6])
+@pytest.mark.parametrize('direct', [5, 82])
+def test_all_balancers_are_counted_through_relays(direct, controls):
+    """Guards against balancers below relays that nobody counts."""
+    generator = random.Random(direct)
+    watchers = [{} for _ in range(controls + 82)]
+    sources = []
+    for number in range(82):
+        is_direct = number < direct
+        known = range(controls if is_direct else controls + number)
+        sources.append(generator.sample(known, min(2, len(known))))
+    for _ in range(82):
+        for number, followed in enumerate(sources):
+            followers = count_followers(watchers[controls + number].values())
+            part = part_for_source(followers, len(followed))
+            for source in followed:
+                watchers[source][number] = Watcher(balancers=part)
+    parts = [count_followers(one.values()) for one in watchers[:controls]]
+    others = [FeedSource(balancers=part) for part in parts[1:]]
+    assert count_fleet(FleetCount(), 0, parts[0], others) == 82
+
+
+def test_balancers_that_follow_each_other_stay_finite():
+    """Guards against an overflow in a part of the tree without control."""
+    part = 1.0
+    for _ in range(100_000):
+        part = part_for_source(part, 1)
+    assert part < 20_000
+
+
+def test_the_number_falls_only_after_a_while():
+    """Guards against larger shares while a control instance is replaced."""
+    fleet = FleetCount()
+    other = FeedSource(balancers=41)
+    assert count_fleet(fleet, 0, 41, [other]) == 82
+    assert count_fleet(fleet, 1, 41, []) == 82
+    assert count_fleet(fleet, PERIOD + 1, 60, []) == 82
+    assert count_fleet(fleet, 2 * PERIOD + 1, 60.2, []) == 61
+    assert count_fleet(fleet, 2 * PERIOD + 2, 90, []) == 90
+
+
+def test_a_balancer_takes_the_number_of_its_newest_source():
+    """Guards against a number that two relays repeat to each other."""
+    control = FeedSource(confirmed_at=9, balancers=60)
+    relay = FeedSource(confirmed_at=8, balancers=82)
+    starting = FeedSource(confirmed_at=10)
+    assert newest_count([relay, control, starting], 5) == 60
+    assert newest_count([starting], 5) == 5
+    assert newest_count([], 0) == 0
