Count servers of a returned data centre as cold

Cause: at the end of an evacuation, servers begin a slow start, but balancers learn of it from a later report. Until then, the limit on openings of cold servers did not apply to them.

Change: while the weights of a returned data centre rise, its servers count as cold for that limit.

Result: a test with two returned servers and a limit of 3 gets 6 copies to them in half a second, and none more when the index is made again within the second.

--- a/src/mustardhold/systems/cold_choice.py
+++ b/src/mustardhold/systems/cold_choice.py
@@ -8,6 +8,7 @@
     ranks_for_each,
     share_of,
 )
+from mustardhold.systems.evacuation import is_returning
 from mustardhold.systems.outlier_avoidance import is_avoided
 from mustardhold.systems.server_ranking import rank_servers
 from mustardhold.tables.directory import KnownServer
@@ -23,6 +24,27 @@
     return 0 if limits is None else limits.cold_openings_per_second
 
 
+def is_cold(tables: ForwardingTables, now: float, server: KnownServer) -> bool:
+    """Return whether a server is in its slow start, or its data centre returns.
+
+    At the end of an evacuation, openings arrive before the report that tells
+    of the slow start.
+    """
+    if now < server.slow_until:
+        return True
+    since = tables.returned_at.get(server.report.data_centre)
+    return since is not None and is_returning(since, now)
+
+
+def forget_windows(tables: ForwardingTables, now: float) -> None:
+    """Remove the windows of servers that are no longer cold."""
+    windows = tables.cold_limits.windows_by_token
+    for token in tuple(windows):
+        known = tables.directory.servers_by_token.get(token)
+        if known is None or not is_cold(tables, now, known):
+            windows.pop(token)
+
+
 def admit_cold(
     tables: ForwardingTables,
     now: float,
--- a/src/mustardhold/systems/cold_limit.py
+++ b/src/mustardhold/systems/cold_limit.py
@@ -18,7 +18,6 @@
     COLD_OPENING_PERIOD,
     COLD_SHARE_USED,
 )
-from mustardhold.tables.directory import Directory
 
 HASH_RANGE = 2**64
 WINDOW_SECONDS = 1.0
@@ -114,13 +113,3 @@
         window.sent_at.append(now)
     else:
         window.due += 1 / fraction_of(share)
-
-
-def forget_windows(
-    limits: ColdLimits, now: float, directory: Directory
-) -> None:
-    """Remove the windows of servers that are no longer cold."""
-    for token in tuple(limits.windows_by_token):
-        known = directory.servers_by_token.get(token)
-        if known is None or known.slow_until <= now:
-            limits.windows_by_token.pop(token)
--- a/src/mustardhold/systems/evacuation.py
+++ b/src/mustardhold/systems/evacuation.py
@@ -49,10 +49,15 @@
     for name, since in tuple(tables.returned_at.items()):
         if since == NOT_STARTED:
             tables.returned_at[name] = now
-        elif steps_passed(since, now) == RETURN_STEPS:
+        elif not is_returning(since, now):
             tables.returned_at.pop(name)
 
 
+def is_returning(since: float, now: float) -> bool:
+    """Return whether the weights of a rise are not full yet."""
+    return steps_passed(since, now) < RETURN_STEPS
+
+
 def returned_share(since: float, now: float) -> float:
     """Return the share of its weight that a returned server has."""
     return (steps_passed(since, now) + 1) / (RETURN_STEPS + 1)
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -16,8 +16,9 @@
     admit_cold,
     cold_limit_of,
     count_cold,
+    forget_windows,
+    is_cold,
 )
-from mustardhold.systems.cold_limit import forget_windows
 from mustardhold.systems.directory import owns_token
 from mustardhold.systems.evacuation import evacuated_names, start_returns
 from mustardhold.systems.outlier_avoidance import is_avoided
@@ -163,7 +164,7 @@
     )
     if tables.index.revisions != revisions:
         start_returns(tables, now)
-        forget_windows(tables.cold_limits, now, directory)
+        forget_windows(tables, now)
         tables.index = make_index(tables, revisions)
     prepared = tables.index.prepared_by_service.get(service)
     if prepared is None or now >= prepared.everywhere.valid_until:
@@ -247,7 +248,9 @@
     limit = cold_limit_of(tables, service)
     if not limit:
         return None
-    tokens = frozenset(one.token for one in servers if now < one.slow_until)
+    tokens = frozenset(
+        one.token for one in servers if is_cold(tables, now, one)
+    )
     if not tokens:
         return None
     ranking = make_ranking(servers, now, tables.returned_at)
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -7,6 +7,7 @@
 
 from mustardhold.systems.cold_limit import count_sent, has_room, share_of
 from mustardhold.systems.directory import merge_report
+from mustardhold.systems.evacuation import install_evacuations
 from mustardhold.systems.server_choice import choose_servers
 from mustardhold.systems.token_forwarding import (
     decide_packet,
@@ -23,6 +24,7 @@
 )
 from mustardhold.tables.constants import COLD_SHARE_USED
 from mustardhold.tables.directory import ServerReport, ServerState
+from mustardhold.tables.evacuations import EvacuatedDataCentre, EvacuationState
 from mustardhold.tables.forwarding import (
     CallerPacket,
     Drop,
@@ -210,3 +212,27 @@
     flow = port.to_bytes(12)
     packet = CallerPacket(flow, ADDRESS, 0, 0, 0, True, False)
     return decide_packet(tables, NOW, packet)
+
+
+def test_servers_of_a_returned_data_centre_count_as_cold():
+    """Guards against a burst before their reports tell of a slow start."""
+    tables = tables_of(4, 2, 3, 1)
+    for known in tuple(tables.directory.servers_by_id.values()):
+        if known.report.server_id.startswith('cold'):
+            moved = msgspec.structs.replace(
+                known.report, data_centre='dc-2', sequence=2, slow_for_ms=0
+            )
+            merge_report(tables.directory, NOW, moved)
+    order = EvacuatedDataCentre('dc-2', 'c-1', 0)
+    install_evacuations(tables, EvacuationState(1, (order,)))
+    assert count_cold(tables, NOW) == 0
+    install_evacuations(tables, EvacuationState(2))
+    assert count_cold(tables, NOW) == 6
+    merge_report(
+        tables.directory,
+        NOW,
+        msgspec.structs.replace(moved, sequence=3, slots=4),
+    )
+    # The index is made again; what was sent within the second still counts.
+    assert count_cold(tables, NOW + 0.25, flows=10) == 0
+    assert count_cold(tables, NOW + 6) > 6
