Test evacuation orders from the call to the balancer

Cause: an order that is lost, taken twice or sent on in an old state sends flows to where they must not go. The loss of all after an acknowledgement is left to the proof.

--- a/tests/test_early_feed.py
+++ b/tests/test_early_feed.py
@@ -21,7 +21,11 @@
 from mustardhold.adapters.clock import SystemClock
 from mustardhold.adapters.directory_store import DirectoryStore, save_changes
 from mustardhold.adapters.disk import FolderDisk
-from mustardhold.adapters.document_store import load_document, save_document
+from mustardhold.adapters.document_store import (
+    load_document,
+    save_document,
+    save_evacuations,
+)
 from mustardhold.adapters.http_app import make_app
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.early_feed import start_early_feed, stop_early_feed
@@ -39,6 +43,7 @@
 from mustardhold.systems.directory import final_report, merge_report
 from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.directory import Directory, ServerReport, ServerState
+from mustardhold.tables.evacuations import EvacuationState
 from mustardhold.tables.feed import (
     DOCUMENT_PATH,
     FEED_PATH,
@@ -51,6 +56,7 @@
 
 TIMEOUT_SECONDS = 10
 DOCUMENT = VersionedDocument(4, b'packed' * 20_000)
+EVACUATIONS = EvacuationState(3, ())
 ALIVE = ServerReport(
     'i-a1', 100, 1, 'feed', '10.0.0.1:80', 'dc-1', 2, ServerState.READY
 )
@@ -66,6 +72,7 @@
     """Return a data directory with a configuration and two servers."""
     disk = FolderDisk(tmp_path, -1)
     save_document(disk, DOCUMENT)
+    save_evacuations(disk, EVACUATIONS)
     store = DirectoryStore(disk)
     save_changes(store, (), (ALIVE,))
     save_changes(store, (GONE,), ())
@@ -117,6 +124,7 @@
     assert {row.report for row in reply.rows} == {ALIVE, GONE}
     assert [row.is_unconfirmed for row in reply.rows] == [True, False]
     assert (reply.version, reply.confirmed_ms) == (DOCUMENT.version, None)
+    assert reply.evacuations == EVACUATIONS
     assert msgspec.msgpack.decode(document, type=VersionedDocument) == DOCUMENT
 
 
--- a/tests/test_token_balancer.py
+++ b/tests/test_token_balancer.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import msgspec
 import pytest
 import trio
 
@@ -30,6 +31,7 @@
 from mustardhold.systems.token_forwarding import configuration_version, is_ready
 from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.directory import ServerReport, ServerState
+from mustardhold.tables.evacuations import EvacuationState
 from mustardhold.tables.feed import FeedPosition, FeedReply, ReceivedReply
 from mustardhold.tables.options import TokenBalancerOptions
 from tools.processes import free_address, free_tcp_address
@@ -231,3 +233,25 @@
     received = [server.recv(2048)[8:] for _ in range(16)]
     numbers = [HEADER.unpack_from(raw)[2] // 1200 for raw in received]
     assert numbers == [3, 0, 2, 1, *range(4, 16)]
+
+
+def test_evacuations_are_installed_and_older_ones_ignored(balancer, caplog):
+    """A reply that was held up must not end or begin an evacuation again."""
+    caplog.set_level(logging.INFO)
+    for revision in (5, 3, 5, 8):
+        reply = replace_evacuations(EvacuationState(revision, ()))
+        handle_feed_reply(balancer, reply)
+    logged = [
+        line.revision
+        for line in caplog.records
+        if line.message == 'evacuated data centres changed'
+    ]
+    assert logged == [5, 8]
+    assert balancer.feed.evacuations().revision == 8
+    assert balancer.feed_client.evacuation_revision() == 8
+
+
+def replace_evacuations(state):
+    """Return a reply of the feed that carries a state."""
+    reply = msgspec.structs.replace(REPLY.reply, evacuations=state)
+    return ReceivedReply(reply, SystemClock().monotonic())
