Export the histogram of evacuation orders

Cause: the page of metrics failed with KeyError once an order had been answered, as the histogram had no summary; seen at a real control process. Change: a summary, and a test that renders the metrics after orders. Result: the page shows the gauge, the counters and the histogram.

--- a/src/mustardhold/adapters/metrics.py
+++ b/src/mustardhold/adapters/metrics.py
@@ -23,6 +23,7 @@
     'open_seconds': 'Time from sending an opening to its answer',
     'batch_packets': 'Packets taken between two checkpoints',
     'configuration_seconds': 'Time from taking a configuration to its answer',
+    'evacuation_seconds': 'Time from taking an evacuation order to its answer',
     'report_seconds': 'Time from taking a leaving server to its answer',
     'link_queue_seconds': 'Time of a packet in the queue of the link',
     'relay_hops': 'Relays that a packet has been through',
