Let operators limit the openings that go to two servers at once

Every first opening went to two servers, and operators who would rather save their servers that work could not say so. A hash of the flow selects the flows, so all balancers decide alike, and repeats go on to the servers that follow those of the attempt before.

With the default of 1 the chosen servers are the same as before: the first choice of a limited balancer is compared with that of an unlimited one over 4,000 flows, and the other tests of forwarding pass unchanged. The counter opening-hedged tells how many first openings went to two servers.

--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -63,7 +63,9 @@
     log: logging.Logger,
 ) -> TokenBalancer:
     """Open the socket for packets, and start with empty tables."""
-    tables = ForwardingTables(options.data_centre)
+    tables = ForwardingTables(
+        options.data_centre, opening_hedge_share=options.opening_hedge_share
+    )
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id,
--- a/src/mustardhold/platform/__main__.py
+++ b/src/mustardhold/platform/__main__.py
@@ -6,13 +6,13 @@
 import sys
 from collections.abc import Sequence
 
+from mustardhold.platform.arguments import ProgramArguments, read_arguments
 from mustardhold.platform.exit_codes import EXIT_USAGE
-
-PROGRAMS = ('balancer', 'control')
+from mustardhold.tables.outcomes import Err
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the program that is named by the only argument.
+    """Run the program that is named by the first argument.
 
     SIGHUP is ignored during the imports, which take some tenths of a second:
     its default action would end the process. A reload that arrives in that
@@ -21,24 +21,26 @@
     Returns
     -------
     int
-        The exit code of the program, or 2 if there is no such program.
+        The exit code of the program, or 2 if the arguments are wrong.
     """
-    if len(arguments) != 1 or arguments[0] not in PROGRAMS:
-        sys.stderr.write(f'expected one program name: {", ".join(PROGRAMS)}\n')
+    read = read_arguments(arguments)
+    if isinstance(read, Err):
+        sys.stderr.write(f'{read.error}\n')
         return EXIT_USAGE
+    chosen = read.value
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imported objects live as long as the process, so garbage collection
     # during the imports would free nothing.
     gc.disable()
-    first_stage = load_first_stage(arguments[0])
-    program = importlib.import_module(f'mustardhold.platform.{arguments[0]}')
+    first_stage = load_first_stage(chosen)
+    program = importlib.import_module(f'mustardhold.platform.{chosen.program}')
     gc.freeze()
     gc.enable()
     exit_code: int = program.run(*first_stage)
     return exit_code
 
 
-def load_first_stage(program: str) -> tuple[object, ...]:
+def load_first_stage(chosen: ProgramArguments) -> tuple[object, ...]:
     """Run the first stage of a program that has one.
 
     Returns
@@ -46,8 +48,8 @@
     tuple
         Arguments for the rest of the program.
     """
-    if program != 'control':
-        return ()
+    if chosen.program != 'control':
+        return (chosen.opening_hedge_share,)
     early = importlib.import_module('mustardhold.platform.early_control')
     return (early.start(),)
 
--- a/src/mustardhold/platform/balancer.py
+++ b/src/mustardhold/platform/balancer.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from logging import Logger
 
+import msgspec
+
 from mustardhold.adapters.clock import SystemClock
 from mustardhold.adapters.http_app import (
     HandlerRequest,
@@ -16,6 +18,7 @@
     run_token_balancer,
 )
 from mustardhold.daemons.token_packets import Codecs, TokenBalancer
+from mustardhold.platform.arguments import DEFAULT_HEDGE_SHARE
 from mustardhold.platform.configurations import read_configuration
 from mustardhold.platform.packets import make_packet_codec
 from mustardhold.platform.settings import NodeSettings, read_balancer_options
@@ -39,9 +42,14 @@
     }
 
 
-async def run_balancer(settings: NodeSettings, log: Logger) -> None:
+async def run_balancer(
+    opening_hedge_share: float, settings: NodeSettings, log: Logger
+) -> None:
     """Run a balancer with the platform's codecs and settings."""
-    options = read_balancer_options(settings)
+    options = msgspec.structs.replace(
+        read_balancer_options(settings),
+        opening_hedge_share=opening_hedge_share,
+    )
     codecs = Codecs(make_packet_codec(options.data_address), read_configuration)
     balancer = make_token_balancer(options, codecs, SystemClock(), log)
     await run_token_balancer(
@@ -56,6 +64,8 @@
     )
 
 
-def run() -> int:
+def run(opening_hedge_share: float = DEFAULT_HEDGE_SHARE) -> int:
     """Run the program until it is stopped; return its exit code."""
-    return run_program('balancer', run_balancer)
+    return run_program(
+        'balancer', functools.partial(run_balancer, opening_hedge_share)
+    )
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from mustardhold.systems.directory import owns_token
+from mustardhold.systems.opening_hedges import ranks_of_attempt
 from mustardhold.systems.outlier_avoidance import is_avoided
 from mustardhold.systems.server_ranking import (
     HASH_RANGE,
@@ -19,7 +20,6 @@
     rank_servers,
     weigh_server,
 )
-from mustardhold.tables.constants import SERVERS_PER_OPENING
 from mustardhold.tables.directory import KnownServer, ServerState
 from mustardhold.tables.forwarding import ForwardingTables, ServiceIndex
 from mustardhold.tables.server_ranking import ServiceServers
@@ -47,16 +47,13 @@
         Number of times the caller sent this opening before.
     """
     servers = servers_of(tables, now, service)
-    first = attempt * SERVERS_PER_OPENING
-    wanted = first + SERVERS_PER_OPENING
+    ranks = ranks_of_attempt(tables.opening_hedge_share, flow, attempt)
+    wanted = ranks.stop
     ranked = list(islice(rank_preferred(tables, now, servers, flow), wanted))
     if len(ranked) < wanted and (attempt or not ranked):
         everything = rank_servers(servers.everywhere, flow)
         ranked += [one for one in everything if is_avoided(tables, now, one)]
-    count = min(SERVERS_PER_OPENING, len(ranked))
-    return tuple(
-        ranked[(first + offset) % len(ranked)] for offset in range(count)
-    )
+    return tuple(ranked[rank % len(ranked)] for rank in ranks[: len(ranked)])
 
 
 def rank_preferred(
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from mustardhold.systems.directory import newest_live_incarnation
+from mustardhold.systems.opening_hedges import count_hedged_opening
 from mustardhold.systems.outlier_avoidance import (
     count_unanswered,
     record_answer,
@@ -94,6 +95,7 @@
     chosen = choose_servers(tables, now, service, flow, packet.attempt)
     if not chosen:
         return Drop(DropCause.NO_SERVER)
+    count_hedged_opening(tables, service, packet.attempt, len(chosen))
     tokens = tuple(server.token for server in chosen)
     opening = RecentOpening(now, now, packet.attempt, tokens, route.kind)
     record_opening(tables, flow, opening)
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -216,6 +216,8 @@
         As of when the configuration in force is known to be the latest one.
     evacuations
         Data centres whose servers get no new flows.
+    opening_hedge_share
+        Share of the flows whose first opening goes to two servers at once.
     """
 
     data_centre: str = ''
@@ -241,4 +243,5 @@
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
+    opening_hedge_share: float = 1
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -111,6 +111,8 @@
     link_bytes_per_second
         Rate of the instance's own link; 0 if unknown, then packets are sent as
         they come.
+    opening_hedge_share
+        Share of the flows whose first opening goes to two servers at once.
     """
 
     instance_id: Name
@@ -122,3 +124,4 @@
     control_addresses: tuple[Address, ...]
     stop_grace: timedelta = STOP_GRACE
     link_bytes_per_second: float = 0
+    opening_hedge_share: float = 1
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -44,6 +44,43 @@
     assert 'balancer, control' in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ('arguments', 'expected'),
+    [
+        (['balancer', '--opening-hedge-share', '0.25'], 0.25),
+        (['balancer', '--opening-hedge-share=0'], 0),
+        (['balancer'], 1),
+    ],
+    ids=str,
+)
+def test_share_of_hedged_openings_reaches_the_balancer(
+    monkeypatch, restored_signals, arguments, expected
+):
+    shares = []
+    module = types.SimpleNamespace(run=lambda share: shares.append(share) or 0)
+    monkeypatch.setattr(importlib, 'import_module', lambda _: module)
+    assert main(arguments) == 0
+    assert shares == [expected]
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        'balancer --opening-hedge-share',
+        'balancer --opening-hedge-share 1.01',
+        'balancer --opening-hedge-share -0.1',
+        'balancer --opening-hedge-share nan',
+        'balancer --opening-hedge-share half',
+        'balancer --opening-hedge-share 0.5 0.5',
+        'balancer --hedge 0.5',
+        'control --opening-hedge-share 0.5',
+    ],
+)
+def test_wrong_share_of_hedged_openings_is_refused(capsys, arguments):
+    assert main(arguments.split()) == EXIT_USAGE
+    assert '--opening-hedge-share' in capsys.readouterr().err
+
+
 @pytest.mark.parametrize('program', ['balancer', 'control'])
 def test_programs_can_be_run(program):
     module = importlib.import_module(f'mustardhold.platform.{program}')
--- a/tests/test_token_forwarding.py
+++ b/tests/test_token_forwarding.py
@@ -114,6 +114,34 @@
     assert len({name for names in choices for name in names}) == 6
 
 
+def test_only_the_set_share_of_first_openings_goes_to_two_servers():
+    servers = [server(number) for number in range(1, 8)]
+    usual, limited, other = (tables_of(*servers) for _ in range(3))
+    limited.opening_hedge_share = other.opening_hedge_share = 0.3
+    flows = 4_000
+    for port in range(flows):
+        packet = opening_packet(port)
+        first = chosen_servers(limited, packet)
+        assert first == chosen_servers(other, packet)
+        assert first == chosen_servers(usual, packet)[: len(first)]
+    hedged = limited.counters['feed', 'opening-hedged']
+    assert hedged == pytest.approx(flows * 0.3, rel=0.1)
+    assert usual.counters['feed', 'opening-hedged'] == flows
+
+
+@pytest.mark.parametrize('share', [0, 1])
+@pytest.mark.parametrize('count', [1, 2, 3])
+def test_repeats_reach_every_server_of_a_small_service(share, count):
+    tables = tables_of(*(server(number) for number in range(1, count + 1)))
+    tables.opening_hedge_share = share
+    choices = [
+        chosen_servers(tables, opening_packet(attempt=attempt))
+        for attempt in range(2)
+    ]
+    assert len(choices[0]) == min(1 + share, count)
+    assert len({name for names in choices for name in names}) == count
+
+
 def test_split_route_shares_its_flows_by_weight():
     tables = tables_of(server(1), server(2, service='orders'))
     targets = (WeightedService('feed', 90), WeightedService('orders', 10))
