Send second copies of slow requests that may be repeated

A few slow servers spoiled the highest percentiles, and operators accept some extra work on the servers, within a limit that they set. The settings `hedging:` (share, least_delay, services; off by default) send a copy of an idempotent request to another server once it has been outstanding for longer than the 95th percentile of its service. A token bucket for each service limits the copies of an owner; there are none under overload, during a drain or to suspect servers.

A flow is pinned to its server, so a copy travels in a flow of its owner's own, whose bucket that owner holds. An owner uses a copy's answer only after each member has promised to relay the other one (HedgeStarted, HedgePromise), so that no caller gets two answers or parts of both. Where hedging is on, parts of answers are reported to owners at once, not at the next tick.

--- a/src/mustardhold/adapters/settings_nodes.py
+++ b/src/mustardhold/adapters/settings_nodes.py
@@ -22,6 +22,7 @@
 from mustardhold.tables.outcomes import Ok
 
 TAG_PREFIX = 'tag:yaml.org,2002:'
+DECIMAL = re.compile(r'-?[0-9]{1,15}(?:\.[0-9]{1,15})?', re.ASCII)
 INTEGER = re.compile('-?[0-9]{1,15}', re.ASCII)
 DESCRIPTION_BY_TAG = {
     'str': 'a text',
@@ -213,6 +214,19 @@
     return int(node.value)
 
 
+def read_number(
+    state: ReadState, key: str, node: yaml.ScalarNode, _: object
+) -> float:
+    """Read a decimal number with or without a fraction."""
+    if kind_of(node) not in {'int', 'float'}:
+        report_type(state, key, node, 'a decimal number')
+        return 0
+    if DECIMAL.fullmatch(node.value) is None:
+        report(state, key, f'{node.value!r} is not a number such as 0.05')
+        return 0
+    return float(node.value)
+
+
 def read_flag(
     state: ReadState, key: str, node: yaml.ScalarNode, _: object
 ) -> bool:
@@ -247,12 +261,14 @@
 SCALAR_READERS: dict[type[inspect.Type], ScalarReader] = {
     inspect.StrType: read_text,
     inspect.IntType: read_integer,
+    inspect.FloatType: read_number,
     inspect.BoolType: read_flag,
     inspect.TimeDeltaType: read_duration,
 }
 EXPECTED_BY_TYPE: dict[type[inspect.Type], str] = {
     inspect.StrType: 'a text',
     inspect.IntType: 'a decimal number',
+    inspect.FloatType: 'a decimal number',
     inspect.BoolType: 'true or false',
     inspect.TimeDeltaType: 'a duration',
 }
--- a/src/mustardhold/daemons/balancer_state.py
+++ b/src/mustardhold/daemons/balancer_state.py
@@ -54,6 +54,7 @@
     tables = make_member_tables(
         options.instance_id, clock.monotonic(), incarnation, options.group
     )
+    tables.hedging.policy = options.hedging
     return Balancer(
         options,
         tables,
--- a/src/mustardhold/daemons/sending.py
+++ b/src/mustardhold/daemons/sending.py
@@ -6,7 +6,7 @@
 from mustardhold.adapters.peer_codec import encode_message
 from mustardhold.daemons.balancer_state import Balancer
 from mustardhold.systems.addresses import split_address, unpack_caller_address
-from mustardhold.systems.observing import record_send
+from mustardhold.systems.observing import record_hedges, record_send
 from mustardhold.tables.constants import FLOW_KEY_BYTES
 from mustardhold.tables.outbox import Outbox, Send, ToBackend, ToCaller, ToPeer
 from mustardhold.tables.packets import (
@@ -49,6 +49,8 @@
             balancer.tables.counters['', 'send-buffer-full'] += 1
         except OSError:
             balancer.tables.counters['', 'send-failed'] += 1
+    if balancer.tables.hedging.events:
+        record_hedges(balancer.observations, balancer.tables)
 
 
 def send_to_backend(
--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,10 +1,16 @@
 """Routes packets to their bucket's server or through their flow's owner."""
 
-from mustardhold.systems.answers import handle_answer, handle_shed
+from mustardhold.systems.answers import handle_shed
+from mustardhold.systems.copy_flows import is_copy_flow
 from mustardhold.systems.flow_opening import open_settled
 from mustardhold.systems.flow_records import end_flow
 from mustardhold.systems.freeze_detection import is_stale_after_freeze
 from mustardhold.systems.health import mark_responsive
+from mustardhold.systems.hedge_routing import (
+    handle_relayed_packet,
+    pass_answer,
+    route_copy_packet,
+)
 from mustardhold.systems.owner_decisions import decide_as_owner, settled_server
 from mustardhold.systems.ownership import (
     awaits_first_lease,
@@ -40,6 +46,7 @@
 # Tuples with the most frequent type first: an isinstance test against a union,
 # prebuilt or not, costs several times as much for each packet.
 CALLER_PACKET_TYPES = (Upload, Open, Request, Cancel, Close)
+BACKEND_PACKET_TYPES = (Answer, Opened, Shed, FlowEnded)
 REQUEST_PACKET_TYPES = (Request, Cancel)
 
 
@@ -110,6 +117,9 @@
     Stale messages have already been dropped before their dispatch.
     """
     packet = relay.packet
+    if isinstance(packet, BACKEND_PACKET_TYPES):
+        handle_relayed_packet(tables, now, packet, outbox)
+        return
     if not isinstance(packet, CALLER_PACKET_TYPES):
         return
     if raise_fence(tables, relay.epoch):
@@ -173,8 +183,11 @@
     ):
         return
     mark_responsive(tables, packet)
+    if is_copy_flow(packet.flow):
+        route_copy_packet(tables, now, packet, outbox)
+        return
     if isinstance(packet, Answer):
-        handle_answer(tables, packet, outbox)
+        pass_answer(tables, now, packet, outbox)
         return
     if isinstance(packet, Shed):
         handle_shed(tables, packet, outbox)
--- a/src/mustardhold/systems/answers.py
+++ b/src/mustardhold/systems/answers.py
@@ -8,6 +8,7 @@
     release_slot,
     widen_window,
 )
+from mustardhold.systems.hedging import record_latency
 from mustardhold.systems.ownership import owners_of_flow
 from mustardhold.systems.request_records import request_key, send_not_run
 from mustardhold.systems.retries import credit_retry_budget
@@ -122,6 +123,8 @@
 ) -> None:
     """Record a part of an answer; the last missing part ends the request."""
     part, parts = entry
+    if now is not None and not record.parts_seen:
+        record_latency(tables, now, record)
     record.parts_seen |= 1 << part
     if record.parts_seen.bit_count() < parts:
         return
--- a/src/mustardhold/systems/deadlines.py
+++ b/src/mustardhold/systems/deadlines.py
@@ -120,7 +120,8 @@
     """Return whether a request was never sent, or sent once and shed."""
     if record.state is RequestState.WAITING:
         return not record.forwards
-    return record.idempotent and record.forwards == 1 and record.sheds > 0
+    is_shed = record.forwards == 1 and record.sheds > 0
+    return record.idempotent and is_shed and not record.is_hedged
 
 
 def may_send_outcome(
--- a/src/mustardhold/systems/observing.py
+++ b/src/mustardhold/systems/observing.py
@@ -2,7 +2,9 @@
 
 from bisect import bisect_left
 
+from mustardhold.systems.copy_flows import is_copy_flow
 from mustardhold.systems.histograms import (
+    HEDGE_SECONDS,
     OPEN_SECONDS,
     REQUEST_SECONDS,
     observe,
@@ -81,6 +83,8 @@
             )
         return
     packet = send.packet
+    if is_copy_flow(packet.flow):
+        return
     outcome = OUTCOME_BY_KIND.get(type(packet))
     if outcome is None:
         return
@@ -93,6 +97,31 @@
     store_decision(observations, tables, now, packet, (outcome, target, reason))
 
 
+def record_hedges(observations: Observations, tables: BalancerTables) -> None:
+    """Store the decisions about copies, and the time that ended ones took.
+
+    They stand under the request of the caller, not under that of the copy.
+    """
+    events = tables.hedging.events
+    while events:
+        event = events.popleft()
+        observations.decisions.append(
+            DecisionRecord(
+                event.at,
+                event.flow,
+                event.request_id,
+                event.outcome,
+                event.target,
+                event.reason,
+                tables.routing.version,
+                tables.view.epoch,
+            )
+        )
+        if event.seconds is not None:
+            key = (HEDGE_SECONDS, event.service, event.outcome)
+            observe(observations.histograms_by_key, key, event.seconds)
+
+
 def record_relay(
     observations: Observations,
     tables: BalancerTables,
--- a/src/mustardhold/systems/peers.py
+++ b/src/mustardhold/systems/peers.py
@@ -26,6 +26,7 @@
     is_stale_after_freeze,
     record_activity,
 )
+from mustardhold.systems.hedge_routing import tick_hedges
 from mustardhold.systems.leases import (
     advance_view,
     handle_lease,
@@ -186,6 +187,7 @@
     """Run all periodic work of a balancer."""
     record_activity(tables, now)
     run_request_timers(tables, now, outbox)
+    tick_hedges(tables, now, outbox)
     tick_backends(tables, now, outbox)
     drop_settled_records(tables)
     tick_membership(tables, now, outbox)
--- a/src/mustardhold/systems/request_messages.py
+++ b/src/mustardhold/systems/request_messages.py
@@ -4,6 +4,11 @@
 from mustardhold.systems.dispatch import dispatch_queued
 from mustardhold.systems.dropped_chains import handle_chain_dropped
 from mustardhold.systems.early_messages import release_messages
+from mustardhold.systems.hedge_copies import (
+    handle_hedge_promise,
+    settle_hedges,
+)
+from mustardhold.systems.hedge_promises import handle_hedge_started
 from mustardhold.systems.request_chain import handle_request_chain
 from mustardhold.systems.request_handover import (
     handle_history_page,
@@ -14,6 +19,8 @@
 from mustardhold.tables.request_messages import (
     AnswerReport,
     ChainDropped,
+    HedgePromise,
+    HedgeStarted,
     RequestChain,
     RequestHistoryPage,
     RequestHistoryQuery,
@@ -32,11 +39,16 @@
             handle_chain_dropped(tables, now, message, outbox)
         case AnswerReport():
             handle_answer_report(tables, now, message, outbox)
+            settle_hedges(tables, now, outbox)
             dispatch_queued(tables, now, outbox)
         case RequestHistoryQuery():
             handle_history_query(tables, now, message, outbox)
         case RequestHistoryPage():
             handle_history_page(tables, now, message)
+        case HedgeStarted():
+            handle_hedge_started(tables, now, message, outbox)
+        case HedgePromise():
+            handle_hedge_promise(tables, now, message, outbox)
 
 
 def replay_early_messages(
--- a/src/mustardhold/systems/request_records.py
+++ b/src/mustardhold/systems/request_records.py
@@ -122,6 +122,7 @@
     if record is None or now < expires_at(record):
         return
     requests.records_by_key.pop(key)
+    tables.hedging.hedges_by_key.pop(key, None)
     requests.records_by_service[record.service] -= 1
     keys = requests.non_idempotent_by_bucket.get(bucket_of(record.flow))
     if keys is not None:
--- a/src/mustardhold/systems/requests.py
+++ b/src/mustardhold/systems/requests.py
@@ -14,6 +14,8 @@
     refuse_request,
     start_chain,
 )
+from mustardhold.systems.hedge_copies import run_due_hedges
+from mustardhold.systems.hedge_promises import allow_answers
 from mustardhold.systems.request_history import (
     is_primary_history_complete,
     update_owner_history,
@@ -50,6 +52,7 @@
     """
     update_owner_history(tables, now)
     dispatch_queued(tables, now, outbox)
+    run_due_hedges(tables, now, outbox)
     key = request_key(packet.flow, packet.request_id)
     record = tables.requests.records_by_key.get(key)
     if record is not None:
@@ -152,6 +155,7 @@
     if record.refusal:
         send_not_run(tables, record, outbox)
     elif record.idempotent:
+        allow_answers(tables, key)
         renew_record(tables, now, key, packet)
         admit_request(tables, now, key, packet, outbox)
     else:
--- a/src/mustardhold/systems/settings_checks.py
+++ b/src/mustardhold/systems/settings_checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from mustardhold.tables.findings import KeyFinding
+from mustardhold.tables.hedging import HedgingOptions, RequestClass
 from mustardhold.tables.options import BalancerOptions, ControlOptions
 from mustardhold.tables.views import Member
 
@@ -49,6 +50,27 @@
             yield KeyFinding(key, 'must be one that other processes can reach')
     if options.withdrawal >= options.stop_bound:
         yield KeyFinding('withdrawal', 'must be shorter than stop_bound')
+    if options.hedging is not None:
+        yield from find_hedging_errors(options.hedging)
+
+
+def find_hedging_errors(hedging: HedgingOptions) -> Iterator[KeyFinding]:
+    """Yield settings of hedging that are out of range."""
+    if not 0 < hedging.share <= 1:
+        yield KeyFinding('hedging.share', 'must be above 0 and at most 1')
+    for name in ('services', 'kinds'):
+        if not getattr(hedging, name):
+            yield KeyFinding(f'hedging.{name}', 'must name at least one')
+    yield from find_duplicates(
+        (f'hedging.services[{index}]', service)
+        for index, service in enumerate(hedging.services)
+    )
+    for index, kind in enumerate(hedging.kinds):
+        if kind is not RequestClass.IDEMPOTENT:
+            yield KeyFinding(
+                f'hedging.kinds[{index}]',
+                'cannot be hedged, as such a request runs at most once',
+            )
 
 
 def find_group_errors(options: BalancerOptions) -> Iterator[KeyFinding]:
--- a/src/mustardhold/tables/balancer.py
+++ b/src/mustardhold/tables/balancer.py
@@ -8,6 +8,7 @@
 from mustardhold.tables.coordination import Membership
 from mustardhold.tables.flows import FlowRecord
 from mustardhold.tables.handover import Handover
+from mustardhold.tables.hedging import HedgeTables
 from mustardhold.tables.placement import BucketReport, PlacementSet
 from mustardhold.tables.requests import RequestTables
 from mustardhold.tables.routing import RoutingTable, empty_table
@@ -65,3 +66,4 @@
     membership: Membership | None = None
     handover: Handover = field(default_factory=Handover)
     is_stopping: bool = False
+    hedging: HedgeTables = field(default_factory=HedgeTables)
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -61,6 +61,20 @@
 MAX_RETRY_TOKENS: Final = 10.0
 IN_FLIGHT_PER_SLOT: Final = 16
 SHED_WINDOW_FACTOR: Final = 0.5
+
+HEDGE_PERCENTILE: Final = 0.95
+HEDGE_SAMPLES: Final = 256
+# With fewer, the percentile would rest on one or two requests.
+MIN_HEDGE_SAMPLES: Final = 64
+HEDGE_RESORT_SAMPLES: Final = 8
+# The unused budget of so many requests is kept for a burst of slow ones.
+HEDGE_BURST_REQUESTS: Final = 100
+MAX_HEDGE_PROMISES: Final = 16_384
+MAX_HEDGE_EVENTS: Final = 1024
+MAX_COPY_PARTS: Final = 64
+MAX_COPIES_WAITING: Final = 16
+COPY_FLOW_RETRY: Final = timedelta(milliseconds=250)
+COPY_FLOW_IDLE: Final = timedelta(seconds=60)
 QUEUED_PER_SLOT: Final = 1
 
 MAX_EDIT_RECORDS: Final = 50_000
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -6,6 +6,7 @@
 
 from mustardhold.tables.constants import STOP_BOUND, STOP_GRACE, WITHDRAWAL
 from mustardhold.tables.field_types import Address, Name
+from mustardhold.tables.hedging import HedgingOptions
 from mustardhold.tables.views import Member
 
 
@@ -35,6 +36,8 @@
         stop sending packets.
     stop_bound
         Longest time from the stop signal to the end of the process.
+    hedging
+        Second copies of slow requests; none to send none.
     """
 
     instance_id: Name
@@ -48,6 +51,7 @@
     table_peers: tuple[Address, ...] = ()
     withdrawal: timedelta = WITHDRAWAL
     stop_bound: timedelta = STOP_BOUND
+    hedging: HedgingOptions | None = None
 
 
 class Replica(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/mustardhold/tables/request_messages.py
+++ b/src/mustardhold/tables/request_messages.py
@@ -96,6 +96,22 @@
     entries: bytes
 
 
+class HedgeStarted(msgspec.Struct, array_like=True, tag=85, frozen=True):
+    """Asks a member to relay the answers of a request to its owner."""
+
+    owner_id: str
+    epoch: int
+    key: bytes
+
+
+class HedgePromise(msgspec.Struct, array_like=True, tag=86, frozen=True):
+    """Promises that the answers of a request are relayed from now on."""
+
+    member_id: str
+    epoch: int
+    key: bytes
+
+
 EarlyMessage = RequestChain | ChainDropped
 """A message that may be received before its view is installed."""
 
@@ -105,4 +121,6 @@
     | AnswerReport
     | RequestHistoryQuery
     | RequestHistoryPage
+    | HedgeStarted
+    | HedgePromise
 )
--- a/src/mustardhold/tables/requests.py
+++ b/src/mustardhold/tables/requests.py
@@ -61,6 +61,8 @@
         Number of times the request was sent to its server, and shed there.
     parts_seen
         Bit mask of the parts of the answer that were forwarded to the caller.
+    is_hedged
+        Whether a copy was sent to another server.
     """
 
     flow: bytes
@@ -83,6 +85,7 @@
     sheds: int = 0
     parts_seen: int = 0
     replaced_epoch: int = 0
+    is_hedged: bool = False
 
 
 @dataclass(slots=True)
--- a/tools/fakes/fleet.py
+++ b/tools/fakes/fleet.py
@@ -17,6 +17,7 @@
 from mustardhold.systems.routing import install_table
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import GRANT_LIFETIME, STOP_BOUND, TICK
+from mustardhold.tables.hedging import HedgingOptions
 from mustardhold.tables.outbox import Outbox, ToBackend, ToPeer
 from mustardhold.tables.packets import BackendPacket, CallerPacket
 from mustardhold.tables.peers import PeerMessage, RecordChain, Relay
@@ -34,6 +35,7 @@
 from tools.fakes.servers import FakeServer, serve_packet
 
 FABRIC = 'fabric'
+DATA_CENTRE = 'dc-1'
 # The first balancers have not run before, so they need not wait until grants
 # of an earlier run expire.
 FOUNDED_AT = -GRANT_LIFETIME.total_seconds()
@@ -92,6 +94,7 @@
     )
     bytes_by_message: Counter[tuple[str, str]] = field(default_factory=Counter)
     group_by_id: dict[str, Member] = field(default_factory=dict)
+    hedging: HedgingOptions | None = None
     starts: int = 0
     packets: int = 0
     relayed: int = 0
@@ -102,11 +105,11 @@
     logic: Logic,
     balancer_ids: tuple[str, ...],
     servers: tuple[FakeServer, ...],
-    data_centre: str = 'dc-1',
+    hedging: HedgingOptions | None = None,
 ) -> Fleet:
     """Make a fleet whose balancers are in one data centre."""
-    placed = dict.fromkeys(balancer_ids, data_centre)
-    return make_spanning_fleet(seed, logic, placed, servers)
+    placed = dict.fromkeys(balancer_ids, DATA_CENTRE)
+    return make_spanning_fleet(seed, logic, placed, servers, hedging)
 
 
 def make_spanning_fleet(
@@ -114,6 +117,7 @@
     logic: Logic,
     data_centre_by_balancer: Mapping[str, str],
     servers: tuple[FakeServer, ...],
+    hedging: HedgingOptions | None = None,
 ) -> Fleet:
     """Make a fleet whose balancers may be in several data centres.
 
@@ -126,7 +130,7 @@
         service: f'10.20.0.{number}:443'
         for number, service in enumerate(services, start=1)
     }
-    fleet = Fleet(queue, Network(queue), logic, addresses)
+    fleet = Fleet(queue, Network(queue), logic, addresses, hedging=hedging)
     fleet.group_by_id = {
         name: Member(name, data_centre, '127.0.0.1:1')
         for name, data_centre in data_centre_by_balancer.items()
@@ -168,6 +172,7 @@
     fleet.balancers_by_id[name] = tables
     fleet.network.down.discard(name)
     fleet.spray_targets.append(name)
+    tables.hedging.policy = fleet.hedging
     install_table(tables, routing_table(fleet, 1))
 
     def tick() -> None:
--- a/tools/fakes/request_runs.py
+++ b/tools/fakes/request_runs.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from mustardhold.tables.hedging import HedgingOptions
 from tools.fakes.callers import CallerFlow, CallerRequest
 from tools.fakes.event_queue import run_until, schedule
 from tools.fakes.fleet import (
@@ -148,12 +149,18 @@
     return [*single_faults, *itertools.combinations(FAULTS, 2)]
 
 
-def run_requests(seed: int, logic: Logic, traffic: Traffic) -> Run:
+def run_requests(
+    seed: int,
+    logic: Logic,
+    traffic: Traffic,
+    hedging: HedgingOptions | None = None,
+) -> Run:
     """Run traffic under the set of faults that the seed selects."""
     sets = fault_sets()
     faults = sets[(seed * 7) % len(sets)]
     servers = make_servers('werkstatt', 7)
-    fleet = make_fleet(seed, logic, (*BALANCERS, ABSENT), servers)
+    names = (*BALANCERS, ABSENT)
+    fleet = make_fleet(seed, logic, names, servers, hedging)
     kill(fleet, ABSENT)
     start_traffic(fleet, traffic, TRAFFIC_END, FlowNumbers())
     for name in faults:
--- a/tools/measurements/requests.py
+++ b/tools/measurements/requests.py
@@ -1,5 +1,6 @@
 """Measures outcomes, latency and message sizes of requests under faults."""
 
+import itertools
 import statistics
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
@@ -8,6 +9,7 @@
 from tools.fakes.callers import CallerRequest
 from tools.fakes.event_queue import run_until
 from tools.fakes.fleet import PRODUCT, Fleet, Logic, make_fleet
+from tools.fakes.hedging_runs import POLICY, HedgingResult, run_slow_servers
 from tools.fakes.naive_requests import (
     make_blind_retry,
     make_shared_queue,
@@ -189,34 +191,57 @@
         )
 
 
+def hedging_note(version: str, run: HedgingResult) -> str:
+    """Describe latencies and extra work of a run with slow servers."""
+    shown = ', '.join(
+        f'p{name} {run.percentile(share) * MS_PER_SECOND:.1f}'
+        for name, share in (('50', 0.5), ('99', 0.99), ('99.9', 0.999))
+    )
+    requests = sum(1 for _ in caller_requests(run.fleet))
+    sent = sum(run.fleet.bytes_by_message.values())
+    return (
+        f'slow servers, {version}: idempotent, in ms from when they are slow: '
+        f'{shown}; {run.runs} runs for {requests} requests in all; copies '
+        f'{run.count("hedged")}, won {run.count("hedge-won")}, lost '
+        f'{run.count("hedge-lost")}; retries {run.count("retried")}; {sent} '
+        'bytes between balancers'
+    )
+
+
+def flood_rows() -> Iterator[tuple[Cell, ...]]:
+    """Yield rows of a service that is flooded, and of one that goes silent."""
+    flood: dict[str, MakeLogic] = {
+        'ours': make_product,
+        'naive: one shared queue': make_shared_queue,
+    }
+    traffics = (NON_IDEMPOTENT_TRAFFIC, IDEMPOTENT_TRAFFIC, OVERLOAD_TRAFFIC)
+    for version, make in flood.items():
+        fleet = run_case(make(), traffics)
+        yield from make_rows('katalog flood', version, fleet)
+        unresponsive = run_case(make(), traffics, 'katalog')
+        yield from make_rows('katalog goes silent', version, unresponsive)
+
+
 def measure_requests() -> Table:
     """Measure the product and the naive versions."""
     rows: list[tuple[Cell, ...]] = []
     calm = run_case(PRODUCT, (NON_IDEMPOTENT_TRAFFIC, IDEMPOTENT_TRAFFIC))
     rows.extend(make_rows('calm', 'ours', calm))
-    flood: dict[str, MakeLogic] = {
-        'ours': make_product,
-        'naive: one shared queue': make_shared_queue,
+    rows.extend(flood_rows())
+    slow = {
+        f'hedging {name}': run_slow_servers(SEED, policy)
+        for name, policy in (('off', None), ('on', POLICY))
     }
-    for version, make in flood.items():
-        fleet = run_case(
-            make(),
-            (NON_IDEMPOTENT_TRAFFIC, IDEMPOTENT_TRAFFIC, OVERLOAD_TRAFFIC),
-        )
-        rows.extend(make_rows('katalog flood', version, fleet))
-        unresponsive = run_case(
-            make(),
-            (NON_IDEMPOTENT_TRAFFIC, IDEMPOTENT_TRAFFIC, OVERLOAD_TRAFFIC),
-            'katalog',
-        )
-        rows.extend(make_rows('katalog goes silent', version, unresponsive))
+    for name, run in slow.items():
+        rows.extend(make_rows('slow servers', name, run.fleet))
     faults: dict[str, MakeLogic] = {
         'ours': make_product,
         'naive: blind retry': make_blind_retry,
         'naive: not run on timeout': make_timeout_not_run,
     }
-    rows.extend(fault_row(version, make) for version, make in faults.items())
+    rows.extend(fault_row(name, make) for name, make in faults.items())
     notes = (
+        *itertools.starmap(hedging_note, slow.items()),
         f'seed {SEED} for calm and flood; one seed for each set of faults',
         'calm bookings pass three owners, idempotent requests one',
         *message_size_notes(calm),
--- a/tools/proofs/requests.py
+++ b/tools/proofs/requests.py
@@ -1,7 +1,9 @@
 """Requests under faults: at-most-once execution and correct outcomes."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 
+from mustardhold.tables.hedging import HedgingOptions
 from tools.fakes.fleet import PRODUCT, Logic
 from tools.fakes.naive_requests import (
     make_answers_by_id,
@@ -40,6 +42,7 @@
     request_ids=64,
     requests_until=REQUESTS_UNTIL,
 )
+EAGER_HEDGING = HedgingOptions(1, timedelta(milliseconds=1), ('werkstatt',))
 LOSSLESS_FAULTS = frozenset(('shed', 'slow', 'delays', 'repeats'))
 MS_PER_SECOND = 1000
 # Network hops from the caller to the last owner and back; transit time does
@@ -71,6 +74,20 @@
             )
 
 
+def run_hedged_once(seed: int, *, naive: bool) -> list[Violation]:
+    """Check the same while copies are sent; naive: blind retry."""
+    logic = make_blind_retry() if naive else PRODUCT
+    run = run_requests(seed, logic, TRAFFIC, EAGER_HEDGING)
+    return list(find_repeated_runs(run))[:1]
+
+
+def run_hedged_answers(seed: int, *, naive: bool) -> list[Violation]:
+    """Check that answers reach the right caller while copies are sent."""
+    logic: Logic = make_answers_by_id() if naive else PRODUCT
+    run = run_requests(seed, logic, COLLIDING_ID_TRAFFIC, EAGER_HEDGING)
+    return list(find_wrong_answers(run))[:1]
+
+
 def run_not_run(seed: int, *, naive: bool) -> list[Violation]:
     """Check that requests reported as not run did not run."""
     logic = make_timeout_not_run() if naive else PRODUCT
@@ -150,6 +167,18 @@
         run_at_most_once,
         ci_seeds=CI_SEEDS,
     ),
+    Proof(
+        'hedged-once',
+        'a non-idempotent request runs at most once where others are hedged',
+        run_hedged_once,
+        ci_seeds=CI_SEEDS,
+    ),
+    Proof(
+        'hedged-answers',
+        'no caller gets an answer of another one where requests are hedged',
+        run_hedged_answers,
+        ci_seeds=CI_SEEDS,
+    ),
     Proof(
         'not-run',
         'a request that is refused as not run was not run',
