--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -331,7 +331,7 @@
 
 
 def test_slow_servers_cost_less_with_hedging():
-    """Load: 150 requests/s, 60 servers of 34 ms, two of them 8 times slower."""
+    """Load: 120 requests/s, 60 servers of 34 ms, two of them 8 times slower."""
     off, on = (run_slow_servers(1, policy) for policy in (None, POLICY))
     for name, run in (('off', off), ('on', on)):
         shown = [
