--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -1,7 +1,7 @@
 """Routes packets to their bucket's server or through their flow's owner."""
 
 from mustardhold.systems.answers import handle_shed
-from mustardhold.systems.copy_flows import is_copy_flow
+from mustardhold.systems.copy_flows import COPY_CALLER
 from mustardhold.systems.flow_opening import open_settled
 from mustardhold.systems.flow_records import end_flow
 from mustardhold.systems.freeze_detection import is_stale_after_freeze
@@ -47,6 +47,7 @@
 # prebuilt or not, costs several times as much for each packet.
 CALLER_PACKET_TYPES = (Upload, Open, Request, Cancel, Close)
 BACKEND_PACKET_TYPES = (Answer, Opened, Shed, FlowEnded)
+FLOW_STATE_TYPES = (Opened, FlowEnded)
 REQUEST_PACKET_TYPES = (Request, Cancel)
 
 
@@ -178,12 +179,12 @@
     about the state of a flow are dropped, since the flow may be at another
     server by then.
     """
-    if isinstance(packet, Opened | FlowEnded) and is_stale_after_freeze(
+    if isinstance(packet, FLOW_STATE_TYPES) and is_stale_after_freeze(
         tables, now
     ):
         return
     mark_responsive(tables, packet)
-    if is_copy_flow(packet.flow):
+    if packet.flow.startswith(COPY_CALLER):
         route_copy_packet(tables, now, packet, outbox)
         return
     if isinstance(packet, Answer):
--- a/src/mustardhold/systems/hedge_promises.py
+++ b/src/mustardhold/systems/hedge_promises.py
@@ -69,14 +69,11 @@
     bool
         Whether the answer must not be passed on to its caller here.
     """
-    hedging = tables.hedging
-    if not (hedging.promises or hedging.hedges_by_key):
-        return False
     key = request_key(packet.flow, packet.request_id)
     owner = owners_of_flow(tables, packet.flow)[0]
     if owner == tables.instance_id:
         return drop_late_answer(tables, key)
-    if key not in hedging.promises:
+    if key not in tables.hedging.promises:
         return False
     relay = Relay(tables.instance_id, tables.view.epoch, 1, packet)
     outbox.append(ToPeer(owner, relay))
--- a/src/mustardhold/systems/hedge_routing.py
+++ b/src/mustardhold/systems/hedge_routing.py
@@ -95,7 +95,10 @@
     tables: BalancerTables, now: float, packet: Answer, outbox: Outbox
 ) -> None:
     """Pass an answer on, or let its owner decide if the request is hedged."""
-    if not divert_answer(tables, packet, outbox):
+    hedging = tables.hedging
+    if hedging.policy is None and not hedging.promises:
+        handle_answer(tables, packet, outbox)
+    elif not divert_answer(tables, packet, outbox):
         accept_answer(tables, now, packet, outbox)
 
 
