Track how servers answer, from callers' packets

A server that accepts flows and then fails, hangs or is slow does not show in unanswered openings. A balancer now follows the latest request of each flow of a route with a target latency: its payload begins it, the first acknowledgement that advances shows an answer, further ones give its length. Outcomes are late, short or good by service and server; recent_answers() gives what was seen of a service in the last second.

Uploads count from their latest packet. Sequence numbers wrap. All tables are bounded, late answers are checked when due and not for each packet, and what became due while the process was suspended does not count. Openings that servers leave unanswered count as late as well.

Nothing decides on these figures yet.

--- /dev/null
+++ b/src/mustardhold/systems/answer_counts.py
@@ -0,0 +1,104 @@
+"""Counts how requests were answered, by service and by server."""
+
+from mustardhold.tables.answer_tracking import (
+    MAX_TRACKED_SERVERS,
+    SLICE_SECONDS,
+    SLICES_PER_WINDOW,
+    AnswerSlice,
+    AnswerTracking,
+    RecentAnswers,
+    ServerOutcomes,
+    ServiceAnswers,
+)
+
+NOTHING_RECENT = RecentAnswers()
+
+
+def count_begun(service: ServiceAnswers, now: float, token: int) -> None:
+    """Count a request that began."""
+    current = current_slice(service, now)
+    current.begun += 1
+    current.asked_tokens.add(token)
+
+
+def count_answer(
+    service: ServiceAnswers, now: float, token: int, *, is_late: bool
+) -> None:
+    """Count an answer that began in time, or a request that is late."""
+    current = current_slice(service, now)
+    current.asked_tokens.add(token)
+    if is_late:
+        current.late += 1
+        current.late_tokens.add(token)
+        count_late(service, token)
+    else:
+        current.in_time += 1
+
+
+def count_late(service: ServiceAnswers, token: int) -> None:
+    """Count a late answer among the outcomes of a server."""
+    outcomes = outcomes_of(service, token)
+    if outcomes is not None:
+        outcomes.late += 1
+        service.has_bad = True
+
+
+def count_unanswered_opening(
+    tracking: AnswerTracking, service_name: str, token: int
+) -> None:
+    """Count an opening that a server left unanswered as late.
+
+    Services that no request is tracked of have no route with a target latency.
+    """
+    service = tracking.services_by_name.get(service_name)
+    if service is not None:
+        count_late(service, token)
+
+
+def current_slice(service: ServiceAnswers, now: float) -> AnswerSlice:
+    """Return the slice of the window that the present belongs to."""
+    slices = service.slices
+    if not slices or now >= slices[-1].started_at + SLICE_SECONDS:
+        # The deque has a limit: the oldest slice goes.
+        slices.append(AnswerSlice(now))
+    return slices[-1]
+
+
+def outcomes_of(service: ServiceAnswers, token: int) -> ServerOutcomes | None:
+    """Return the outcomes of a server; None if the table is full."""
+    outcomes = service.outcomes_by_token.get(token)
+    if outcomes is None and len(service.outcomes_by_token) < (
+        MAX_TRACKED_SERVERS
+    ):
+        outcomes = ServerOutcomes()
+        service.outcomes_by_token[token] = outcomes
+    return outcomes
+
+
+def recent_answers(
+    tracking: AnswerTracking, service_name: str, now: float
+) -> RecentAnswers:
+    """Return what was seen of a service's requests within the last second.
+
+    The costs grow with the servers that were asked, so a caller for each packet
+    has to keep the result for a time.
+    """
+    service = tracking.services_by_name.get(service_name)
+    if service is None:
+        return NOTHING_RECENT
+    oldest = now - SLICE_SECONDS * SLICES_PER_WINDOW
+    while service.slices and service.slices[0].started_at < oldest:
+        service.slices.popleft()
+    slices = service.slices
+    asked: set[int] = set()
+    late: set[int] = set()
+    for part in slices:
+        asked |= part.asked_tokens
+        late |= part.late_tokens
+    return RecentAnswers(
+        sum(part.begun for part in slices),
+        sum(part.in_time for part in slices),
+        sum(part.late for part in slices),
+        len(asked),
+        len(late),
+    )
--- /dev/null
+++ b/src/mustardhold/systems/answer_tracking.py
@@ -0,0 +1,250 @@
+"""Tells from callers' packets whether servers answer well and in time.
+
+Payload of a caller begins a request. The first acknowledgement that advances
+after it shows that an answer is arriving, and later ones give its length. A
+request is late if no byte of its answer has arrived within the target latency
+of its route, and its answer is short if it is complete and much shorter than
+usual for the route, as failures are. Both are hints: packets may overtake each
+other, and those of one flow may reach different balancers.
+"""
+
+from heapq import heappop, heappush
+
+from mustardhold.systems.answer_counts import (
+    count_answer,
+    count_begun,
+    outcomes_of,
+)
+from mustardhold.tables.answer_tracking import (
+    MAX_TRACKED_FLOWS,
+    MAX_TRACKED_ROUTES,
+    MAX_TRACKED_SERVICES,
+    AnswerTracking,
+    RequestPhase,
+    RouteAnswers,
+    ServiceAnswers,
+    TrackedFlow,
+)
+from mustardhold.tables.configurations import ServiceRoute
+from mustardhold.tables.forwarding import CallerPacket
+
+# Sequence numbers and acknowledgements have 32 bits and wrap.
+SEQUENCE_MASK = 2**32 - 1
+HALF_SEQUENCE = 2**31
+# An answer without news for longer than the first retransmission takes, which
+# callers see after 200 ms, is taken to be complete.
+QUIET_SECONDS = 0.25
+# Failures hold a few hundred bytes; less than a third of what is usual stands
+# out where answers differ little in length.
+SHORT_SHARE = 1 / 3
+# Below this many answers, what is usual is not known.
+MIN_ANSWERS = 20
+USUAL_WEIGHT = 0.02
+# Checks run every 100 ms. After a longer gap the process was suspended, and
+# answers may wait unread.
+MAX_CHECK_GAP_SECONDS = 0.5
+
+
+def track_packet(
+    tracking: AnswerTracking,
+    now: float,
+    packet: CallerPacket,
+    token: int,
+    target: tuple[str, ServiceRoute],
+) -> None:
+    """Track a packet of an open flow.
+
+    Parameters
+    ----------
+    token
+        Server that the packet is forwarded to.
+    target
+        Service of that server, and the route of the flow, which must have a
+        target latency.
+    """
+    flow = tracking.flows_by_key.get(packet.flow)
+    if flow is None:
+        if packet.length and not packet.is_reset:
+            start_tracking(tracking, now, packet, token, target)
+        return
+    advance = (packet.acknowledged - flow.acknowledged) & SEQUENCE_MASK
+    if 0 < advance < HALF_SEQUENCE and not packet.is_reset:
+        flow.acknowledged = packet.acknowledged
+        if flow.phase is not RequestPhase.IDLE:
+            record_answer_bytes(flow, now)
+    if packet.length:
+        record_payload(tracking, now, packet, flow, token)
+    if packet.is_reset or (packet.is_closing and not packet.length):
+        if packet.is_closing:
+            complete_answer(flow)
+        tracking.flows_by_key.pop(packet.flow)
+
+
+def start_tracking(
+    tracking: AnswerTracking,
+    now: float,
+    packet: CallerPacket,
+    token: int,
+    target: tuple[str, ServiceRoute],
+) -> None:
+    """Track a flow from the first request that is seen of it."""
+    service = track_service(tracking, target[0])
+    route = track_route(tracking, target[1])
+    if service is None or route is None:
+        tracking.untracked += 1
+        return
+    if len(tracking.flows_by_key) >= MAX_TRACKED_FLOWS:
+        oldest = tracking.flows_by_key.pop(next(iter(tracking.flows_by_key)))
+        tracking.untracked += oldest.phase is RequestPhase.WAITING
+    end = (packet.sequence + packet.length) & SEQUENCE_MASK
+    flow = TrackedFlow(token, service, route, end, packet.acknowledged)
+    begin_request(tracking, now, packet.flow, flow)
+
+
+def track_service(tracking: AnswerTracking, name: str) -> ServiceAnswers | None:
+    """Return the state of a service; None if the table is full."""
+    services = tracking.services_by_name
+    service = services.get(name)
+    if service is None and len(services) < MAX_TRACKED_SERVICES:
+        service = ServiceAnswers(name)
+        services[name] = service
+    return service
+
+
+def track_route(
+    tracking: AnswerTracking, route: ServiceRoute
+) -> RouteAnswers | None:
+    """Return the state of a route, with its current target latency."""
+    routes = tracking.routes_by_name
+    known = routes.get(route.name)
+    if known is None:
+        if len(routes) >= MAX_TRACKED_ROUTES:
+            return None
+        known = RouteAnswers(0)
+        routes[route.name] = known
+    known.target_seconds = route.target_latency.total_seconds()
+    return known
+
+
+def begin_request(
+    tracking: AnswerTracking, now: float, key: bytes, flow: TrackedFlow
+) -> None:
+    """Begin a request of a flow; the flow becomes the newest one."""
+    flow.phase = RequestPhase.WAITING
+    flow.is_late = False
+    flow.requested_at = now
+    flow.acknowledged_before = flow.acknowledged
+    tracking.flows_by_key.pop(key, None)
+    tracking.flows_by_key[key] = flow
+    count_begun(flow.service, now, flow.token)
+    if not flow.is_scheduled:
+        schedule_check(tracking, now + flow.route.target_seconds, key, flow)
+
+
+def schedule_check(
+    tracking: AnswerTracking, at: float, key: bytes, flow: TrackedFlow
+) -> None:
+    """Schedule a check of a flow's request."""
+    if len(tracking.due) >= MAX_TRACKED_FLOWS:
+        tracking.untracked += 1
+        return
+    flow.is_scheduled = True
+    heappush(tracking.due, (at, key))
+
+
+def record_payload(
+    tracking: AnswerTracking,
+    now: float,
+    packet: CallerPacket,
+    flow: TrackedFlow,
+    token: int,
+) -> None:
+    """Record payload: it begins a request, or continues one.
+
+    No answer comes before a request is complete, so each packet that continues
+    one restarts its time, also one that fills a gap. A repetition of the last
+    packet does not: callers repeat what a server leaves unanswered.
+    """
+    end = (packet.sequence + packet.length) & SEQUENCE_MASK
+    if end == flow.sent:
+        return
+    is_new = (end - flow.sent) & SEQUENCE_MASK < HALF_SEQUENCE
+    if is_new:
+        flow.sent = end
+    if flow.phase is RequestPhase.WAITING:
+        flow.requested_at = now
+    elif is_new:
+        complete_answer(flow)
+        flow.token = token
+        begin_request(tracking, now, packet.flow, flow)
+
+
+def record_answer_bytes(flow: TrackedFlow, now: float) -> None:
+    """Record that the caller received a part of the answer."""
+    flow.answered_at = now
+    if flow.phase is RequestPhase.ANSWERING:
+        return
+    flow.phase = RequestPhase.ANSWERING
+    if flow.is_late:
+        return
+    flow.is_late = now - flow.requested_at > flow.route.target_seconds
+    count_answer(flow.service, now, flow.token, is_late=flow.is_late)
+
+
+def complete_answer(flow: TrackedFlow) -> None:
+    """Classify an answer that is complete, if any has arrived."""
+    if flow.phase is RequestPhase.ANSWERING:
+        route = flow.route
+        length = (flow.acknowledged - flow.acknowledged_before) & SEQUENCE_MASK
+        is_short = (
+            route.answers >= MIN_ANSWERS
+            and length < route.usual_bytes * SHORT_SHARE
+        )
+        route.answers += 1
+        weight = max(1 / route.answers, USUAL_WEIGHT)
+        route.usual_bytes += (length - route.usual_bytes) * weight
+        outcomes = outcomes_of(flow.service, flow.token)
+        if outcomes is not None and not flow.is_late:
+            outcomes.short += is_short
+            outcomes.good += not is_short
+            flow.service.has_bad = flow.service.has_bad or is_short
+    flow.phase = RequestPhase.IDLE
+
+
+def check_due(tracking: AnswerTracking, now: float) -> None:
+    """Count the requests that have become late, and the quiet answers.
+
+    A process that was suspended may not have read the answers yet, so what
+    became due meanwhile does not count.
+    """
+    is_suspended = now - tracking.checked_at > MAX_CHECK_GAP_SECONDS
+    tracking.checked_at = now
+    while tracking.due and tracking.due[0][0] <= now:
+        _, key = heappop(tracking.due)
+        flow = tracking.flows_by_key.get(key)
+        if flow is None:
+            continue
+        flow.is_scheduled = False
+        if is_suspended:
+            flow.phase = RequestPhase.IDLE
+            continue
+        next_at = check_flow(flow, now)
+        if next_at is not None:
+            schedule_check(tracking, next_at, key, flow)
+
+
+def check_flow(flow: TrackedFlow, now: float) -> float | None:
+    """Check a request; return when to check it again, if at all."""
+    if flow.phase is RequestPhase.WAITING:
+        late_at = flow.requested_at + flow.route.target_seconds
+        if now < late_at:
+            return late_at
+        if not flow.is_late:
+            flow.is_late = True
+            count_answer(flow.service, now, flow.token, is_late=True)
+    elif flow.phase is RequestPhase.ANSWERING:
+        quiet_at = flow.answered_at + QUIET_SECONDS
+        if now < quiet_at:
+            return quiet_at
+        complete_answer(flow)
+    return None
--- a/src/mustardhold/systems/outlier_avoidance.py
+++ b/src/mustardhold/systems/outlier_avoidance.py
@@ -6,6 +6,7 @@
 sends new flows, so a wrong guess breaks no flow.
 """
 
+from mustardhold.systems.answer_counts import count_unanswered_opening
 from mustardhold.tables.constants import (
     AVOID_AFTER_UNANSWERED,
     AVOIDANCE_PERIOD,
@@ -86,6 +87,10 @@
             token, ServerResponsiveness()
         )
         responsiveness.unanswered += 1
+        server = tables.directory.servers_by_token.get(token)
+        if server is not None:
+            service = server.report.service
+            count_unanswered_opening(tables.answers, service, token)
         if responsiveness.unanswered >= AVOID_AFTER_UNANSWERED:
             if now >= responsiveness.avoid_until:
                 tables.newly_avoided.append(token)
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -2,6 +2,7 @@
 
 import xxhash
 
+from mustardhold.systems.answer_tracking import track_packet
 from mustardhold.systems.directory import newest_live_incarnation
 from mustardhold.systems.outlier_avoidance import (
     count_unanswered,
@@ -38,7 +39,7 @@
         return decide_opening(tables, now, packet, route)
     if route is None:
         return decide_without_route(tables, packet)
-    return decide_by_token(tables, now, packet)
+    return decide_by_token(tables, now, packet, route)
 
 
 def decide_without_route(
@@ -56,7 +57,10 @@
 
 
 def decide_by_token(
-    tables: ForwardingTables, now: float, packet: CallerPacket
+    tables: ForwardingTables,
+    now: float,
+    packet: CallerPacket,
+    route: ServiceRoute,
 ) -> Decision:
     """Forward a packet to the server that its token identifies.
 
@@ -72,7 +76,11 @@
     if holder is None:
         return reset_or_drop(packet, DropCause.FLOW_ENDED)
     record_answer(tables, now, packet.flow, server)
-    return Forward((holder,), holder.report.service)
+    service = holder.report.service
+    if route.target_latency:
+        target = (service, route)
+        track_packet(tables.answers, now, packet, holder.token, target)
+    return Forward((holder,), service)
 
 
 def decide_opening(
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from mustardhold.tables.answer_tracking import AnswerTracking
 from mustardhold.tables.configurations import (
     Configuration,
     RequestKind,
@@ -216,6 +217,8 @@
         As of when the configuration in force is known to be the latest one.
     evacuations
         Data centres whose servers get no new flows.
+    answers
+        How servers answer requests of routes with a target latency.
     """
 
     data_centre: str = ''
@@ -241,4 +244,5 @@
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
+    answers: AnswerTracking = field(default_factory=AnswerTracking)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
