Avoid servers that the whole fleet sees answer badly

A balancer sees a few hundredths of a service's flows, so it asks a bad server again every several seconds and learns nothing from it. Balancers now post what they saw by server (late, short and good answers, only if any is bad) to one control instance, the collector of the service. Suspicions go down the feed with their remaining time, and are ranked as avoided servers are.

--- /dev/null
+++ b/src/mustardhold/daemons/evidence_posts.py
@@ -0,0 +1,153 @@
+"""Posts what a balancer saw of bad answers to the collector of each service."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from mustardhold.adapters.clock import Clock
+from mustardhold.adapters.http_client import (
+    HttpClient,
+    HttpRequest,
+    send_request,
+)
+from mustardhold.systems.answer_counts import take_evidence
+from mustardhold.systems.answer_tracking import check_due
+from mustardhold.systems.feed_tree import rendezvous_rank
+from mustardhold.tables.answer_tracking import AnswerTracking
+from mustardhold.tables.constants import (
+    ANSWER_CHECK_INTERVAL,
+    EVIDENCE_FAILURE_PERIOD,
+    EVIDENCE_INTERVAL,
+    EVIDENCE_MAX_PAUSE,
+    EVIDENCE_TIMEOUT,
+    EVIDENCE_TRIES,
+)
+from mustardhold.tables.outcomes import Err
+from mustardhold.tables.server_evidence import (
+    EVIDENCE_PATH,
+    EvidencePost,
+    EvidenceReply,
+)
+
+MILLISECONDS = 1000
+
+_reply_decoder = msgspec.json.Decoder(EvidenceReply)
+
+
+@dataclass(slots=True)
+class EvidencePoster:
+    """State of the posts of a balancer.
+
+    Attributes
+    ----------
+    reporter
+        Name of the balancer.
+    addresses
+        Returns the internal addresses of all known control instances.
+    failed_at
+        When an address last failed; local clock, in seconds.
+    next_at
+        When the next post for a service may be sent, by service.
+    """
+
+    reporter: str
+    tracking: AnswerTracking
+    addresses: Callable[[], set[str]]
+    clock: Clock
+    http_client: HttpClient
+    counters: Counter[tuple[str, str]]
+    failed_at: dict[str, float] = field(default_factory=dict)
+    next_at: dict[str, float] = field(default_factory=dict)
+
+
+async def check_answers_periodically(
+    tracking: AnswerTracking, clock: Clock
+) -> None:
+    """Count late answers at a fixed interval."""
+    while True:
+        await trio.sleep(ANSWER_CHECK_INTERVAL.total_seconds())
+        check_due(tracking, clock.monotonic())
+
+
+async def post_evidence_periodically(poster: EvidencePoster) -> None:
+    """Post new evidence at a fixed interval, if anything is bad.
+
+    The services have different collectors, so one that does not respond must
+    not delay the others.
+    """
+    while True:
+        await trio.sleep(EVIDENCE_INTERVAL.total_seconds())
+        async with trio.open_nursery() as nursery:
+            for post in take_due(poster):
+                nursery.start_soon(post_evidence, poster, post)
+
+
+def take_due(poster: EvidencePoster) -> list[EvidencePost]:
+    """Take the evidence of the services that may be posted now."""
+    now = poster.clock.monotonic()
+    due: list[EvidencePost] = []
+    for name, service in poster.tracking.services_by_name.items():
+        if now >= poster.next_at.get(name, now):
+            post = take_evidence(service, now, poster.reporter)
+            if post is not None:
+                due.append(post)
+    return due
+
+
+async def post_evidence(poster: EvidencePoster, post: EvidencePost) -> None:
+    """Send a post to the first collector that accepts it.
+
+    Evidence is dropped if none does: it would be outdated by the next try.
+    """
+    body = msgspec.json.encode(post)
+    for address in rank_collectors(poster, post.service):
+        request = HttpRequest('POST', address, EVIDENCE_PATH, body)
+        response = await send_request(
+            poster.http_client, request, EVIDENCE_TIMEOUT.total_seconds()
+        )
+        now = poster.clock.monotonic()
+        if not isinstance(response, Err) and response.value.is_success:
+            poster.failed_at.pop(address, None)
+            poster.counters['evidence', 'posted'] += 1
+            poster.next_at[post.service] = now + read_pause(response.value.body)
+            return
+        poster.failed_at[address] = now
+        poster.counters['evidence', 'post-failed'] += 1
+    poster.counters['evidence', 'lost'] += 1
+
+
+def rank_collectors(poster: EvidencePoster, service: str) -> list[str]:
+    """Return the addresses to post to, those that failed lately last.
+
+    All balancers rank them alike, so evidence on a service meets at one of
+    them.
+    """
+    failed_after = (
+        poster.clock.monotonic() - EVIDENCE_FAILURE_PERIOD.total_seconds()
+    )
+    poster.failed_at = {
+        address: failed_at
+        for address, failed_at in poster.failed_at.items()
+        if failed_at > failed_after
+    }
+    ranked = sorted(
+        poster.addresses(),
+        key=lambda address: (
+            address in poster.failed_at,
+            rendezvous_rank(service, address),
+        ),
+    )
+    return ranked[:EVIDENCE_TRIES]
+
+
+def read_pause(body: bytes) -> float:
+    """Return the pause that a collector asks for, in seconds."""
+    try:
+        pause_ms = _reply_decoder.decode(body).pause_ms
+    except msgspec.DecodeError:
+        return 0
+    longest = EVIDENCE_MAX_PAUSE.total_seconds()
+    return min(max(pause_ms / MILLISECONDS, 0), longest)
--- a/src/mustardhold/daemons/feed_handlers.py
+++ b/src/mustardhold/daemons/feed_handlers.py
@@ -15,6 +15,7 @@
 from mustardhold.systems.directory import rows_after, whole_milliseconds
 from mustardhold.systems.feed_tree import admit_watcher, coalescing_pause
 from mustardhold.systems.liveness import tokens_heard_after
+from mustardhold.systems.suspicions import suspects_after
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.constants import (
     FEED_WAIT,
@@ -72,8 +73,8 @@
     changed, polled
         Set and replaced at each change and at each poll.
     woken_for
-        Revisions of the servers and of the silent ones when watchers were last
-        woken for them.
+        Revisions of the servers, of the silent ones and of the suspicions when
+        watchers were last woken for them.
     snapshot
         The latest reply to a balancer that had merged nothing.
     started_at
@@ -90,7 +91,7 @@
     watchers_by_name: dict[str, Watcher] = field(default_factory=dict)
     changed: trio.Event = field(default_factory=trio.Event)
     polled: trio.Event = field(default_factory=trio.Event)
-    woken_for: tuple[int, int] = (0, 0)
+    woken_for: tuple[int, int, int] = (0, 0, 0)
     snapshot: Snapshot | None = None
     started_at: float = field(init=False)
 
@@ -112,7 +113,12 @@
 
 def wake_if_changed(feed: FeedPublisher) -> None:
     """Wake the watchers if servers changed since they were last woken."""
-    revisions = (feed.directory.revision, feed.directory.silent_revision)
+    directory = feed.directory
+    revisions = (
+        directory.revision,
+        directory.silent_revision,
+        directory.suspicions.revision,
+    )
     if revisions != feed.woken_for:
         feed.woken_for = revisions
         wake_watchers(feed)
@@ -159,6 +165,7 @@
     key = (
         feed.directory.revision,
         feed.directory.silent_revision,
+        feed.directory.suspicions.revision,
         feed.configuration().version,
         feed.controls(),
     )
@@ -212,6 +219,8 @@
     """Return whether a poll must be answered immediately."""
     if feed.directory.revision > position.revision:
         return True
+    if feed.directory.suspicions.revision > position.suspect_revision:
+        return True
     if query.is_control:
         return False
     if feed.directory.silent_revision > position.silent_revision:
@@ -240,6 +249,7 @@
             directory.revision,
             directory.heard_count,
             directory.silent_revision,
+            directory.suspicions.revision,
         ),
         tuple(rows_after(directory, now, position.revision)),
         feed.configuration().version,
@@ -247,6 +257,9 @@
         age_of_state(feed, now),
         controls=controls_to_send(feed, watcher, position),
         is_settled=now - feed.started_at > SETTLING_PERIOD.total_seconds(),
+        suspects=tuple(
+            suspects_after(directory.suspicions, now, position.suspect_revision)
+        ),
     )
     if query.is_control:
         heard = tokens_heard_after(directory, position.heard_count)
--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -17,6 +17,7 @@
     refresh_heard,
     update_silent,
 )
+from mustardhold.systems.suspicions import merge_suspects
 from mustardhold.tables.constants import (
     FEED_MARGIN,
     FEED_SNAPSHOT_TIMEOUT,
@@ -128,6 +129,12 @@
         client.on_report(report)
     if client.document_sink is None:
         refresh_heard(client.directory, received.made_at, reply.heard)
+    merge_suspects(
+        client.directory.suspicions,
+        client.clock.monotonic(),
+        received.made_at,
+        reply.suspects,
+    )
     update_source(client.directory, source, received)
     if client.document_sink is not None:
         silent = agree_on_silent(
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -25,6 +25,10 @@
 )
 from mustardhold.daemons.early_feed import EarlyFeed, stop_early_feed
 from mustardhold.daemons.error_reporting import report_error
+from mustardhold.daemons.evidence_handlers import (
+    end_suspicions_periodically,
+    handle_evidence,
+)
 from mustardhold.daemons.feed_client import run_feed_client
 from mustardhold.daemons.feed_handlers import (
     handle_feed_poll,
@@ -44,6 +48,7 @@
     MAX_REPLICA_BODY_BYTES,
 )
 from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
+from mustardhold.tables.server_evidence import EVIDENCE_PATH
 
 
 class PublicHandlers(NamedTuple):
@@ -74,6 +79,9 @@
         ('GET', CONFIGURATION_PATH): functools.partial(
             show_configuration, control.node
         ),
+        ('POST', EVIDENCE_PATH): functools.partial(
+            handle_evidence, control.evidence_desk
+        ),
     }
 
 
@@ -110,6 +118,7 @@
         functools.partial(wake_if_changed, control.feed),
     )
     nursery.start_soon(save_periodically, control.saver)
+    nursery.start_soon(end_suspicions_periodically, control.evidence_desk)
 
 
 async def run_registry_control(
--- a/src/mustardhold/daemons/registry_metrics.py
+++ b/src/mustardhold/daemons/registry_metrics.py
@@ -3,14 +3,16 @@
 from mustardhold.daemons.metrics_server import MetricsSnapshot
 from mustardhold.daemons.replica_node import ReplicaNode
 from mustardhold.systems.control_gauges import control_gauges
+from mustardhold.systems.suspicions import suspect_tokens
 from mustardhold.tables.directory import Directory
 from mustardhold.tables.gauges import Gauge
 
 
 def collect_metrics(node: ReplicaNode, directory: Directory) -> MetricsSnapshot:
     """Collect the replica's metrics, and gauges of its directory."""
+    now = node.clock.monotonic()
     gauges = (
-        *control_gauges(node.replica, node.clock.monotonic()),
+        *control_gauges(node.replica, now),
         Gauge(
             'configuration_version',
             'Version in force',
@@ -21,6 +23,11 @@
             'Servers in the directory',
             len(directory.servers_by_id),
         ),
+        Gauge(
+            'suspect_servers',
+            'Servers that answer worse than others',
+            len(suspect_tokens(directory.suspicions, now)),
+        ),
     )
     return MetricsSnapshot(
         dict(node.replica.counters),
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -15,6 +15,7 @@
     restore_directory,
     wait_saved,
 )
+from mustardhold.daemons.evidence_handlers import EvidenceDesk
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
     make_run_id,
@@ -55,6 +56,7 @@
     saver: DirectorySaver
     feed: FeedPublisher
     feed_client: FeedClient
+    evidence_desk: EvidenceDesk
 
 
 def make_control(
@@ -99,9 +101,22 @@
         lambda: node.replica.configuration,
         node.error_reporter,
     )
+    evidence_desk = EvidenceDesk(
+        directory,
+        clock,
+        log,
+        node.replica.counters,
+        functools.partial(wake_if_changed, feed),
+    )
     node.on_applied = functools.partial(handle_applied, feed, saver)
     return RegistryControl(
-        node, report_interval, directory, saver, feed, feed_client
+        node,
+        report_interval,
+        directory,
+        saver,
+        feed,
+        feed_client,
+        evidence_desk,
     )
 
 
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -12,6 +12,11 @@
     forget_servers_periodically,
 )
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
+from mustardhold.daemons.evidence_posts import (
+    EvidencePoster,
+    check_answers_periodically,
+    post_evidence_periodically,
+)
 from mustardhold.daemons.feed_client import run_feed_client
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
@@ -43,6 +48,7 @@
     make_link_queue,
 )
 from mustardhold.systems.liveness import forget_silent_servers
+from mustardhold.systems.suspicions import suspect_tokens
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.constants import (
     DRAIN_CHECK_INTERVAL,
@@ -63,7 +69,9 @@
     log: logging.Logger,
 ) -> TokenBalancer:
     """Open the socket for packets, and start with empty tables."""
-    tables = ForwardingTables(options.data_centre)
+    tables = ForwardingTables(
+        options.data_centre, heeds_suspicions=options.shares_evidence
+    )
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id,
@@ -118,7 +126,7 @@
 
 def collect_metrics(balancer: TokenBalancer) -> MetricsSnapshot:
     """Collect the balancer's counters, histograms and gauges of its tables."""
-    tables = balancer.tables
+    tables, now = balancer.tables, balancer.clock.monotonic()
     ready = sum(
         known.report.state is ServerState.READY
         for known in tables.directory.servers_by_id.values()
@@ -133,7 +141,17 @@
         Gauge(
             'control_silence_seconds',
             'Time since a current control instance told its state',
-            balancer.clock.monotonic() - tables.last_feed_at,
+            now - tables.last_feed_at,
+        ),
+        Gauge(
+            'suspect_servers',
+            'Servers that answer worse than others',
+            len(suspect_tokens(tables.directory.suspicions, now)),
+        ),
+        Gauge(
+            'untracked_requests',
+            'Requests whose answers could not be tracked since the start',
+            tables.answers.untracked,
         ),
     ]
     if balancer.link is not None:
@@ -182,6 +200,26 @@
     )
 
 
+def start_evidence_tasks(
+    balancer: TokenBalancer, nursery: trio.Nursery
+) -> None:
+    """Start the tasks that watch how servers answer, and report bad ones."""
+    tracking = balancer.tables.answers
+    nursery.start_soon(check_answers_periodically, tracking, balancer.clock)
+    if not balancer.options.shares_evidence:
+        return
+    feed_client = balancer.feed_client
+    poster = EvidencePoster(
+        balancer.options.instance_id,
+        tracking,
+        lambda: feed_client.known_addresses,
+        balancer.clock,
+        feed_client.http_client,
+        balancer.tables.counters,
+    )
+    nursery.start_soon(post_evidence_periodically, poster)
+
+
 async def run_token_balancer(
     balancer: TokenBalancer, handlers: HandlersByPath, watch_settings: AsyncTask
 ) -> None:
@@ -214,6 +252,7 @@
         if balancer.link is not None:
             nursery.start_soon(run_link_sender, balancer.link)
         nursery.start_soon(run_feed_client, balancer.feed_client)
+        start_evidence_tasks(balancer, nursery)
         nursery.start_soon(
             forget_servers_periodically,
             balancer.tables.directory,
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -73,6 +73,9 @@
         Public addresses of some of the control instances.
     bootstrap
         Whether the whole system is being started for the first time.
+    shares_evidence
+        Whether balancers report servers that answer badly, and avoid suspect
+        ones.
     """
 
     ip_address: str
@@ -87,6 +90,7 @@
     fault_tolerance: FaultTolerance = FaultTolerance()
     bounds: Bounds = Bounds()
     limits: InstanceLimits = InstanceLimits()
+    shares_evidence: bool = True
 
 
 _decoder = msgspec.json.Decoder(NodeSettings)
@@ -171,4 +175,5 @@
         control_addresses(settings),
         timedelta(seconds=settings.bounds.grace_period_s),
         max(settings.limits.link_mbps, 0) * BYTES_PER_MEGABIT,
+        settings.shares_evidence,
     )
--- a/src/mustardhold/systems/answer_counts.py
+++ b/src/mustardhold/systems/answer_counts.py
@@ -1,5 +1,8 @@
 """Counts how requests were answered, by service and by server."""
 
+from collections.abc import Iterator
+from operator import attrgetter
+
 from mustardhold.tables.answer_tracking import (
     MAX_TRACKED_SERVERS,
     SLICE_SECONDS,
@@ -10,8 +13,15 @@
     ServerOutcomes,
     ServiceAnswers,
 )
+from mustardhold.tables.server_evidence import (
+    MAX_EVIDENCE_SECONDS,
+    MAX_POSTED_SERVERS,
+    EvidencePost,
+    ServerEvidence,
+)
 
 NOTHING_RECENT = RecentAnswers()
+MILLISECONDS = 1000
 
 
 def count_begun(service: ServiceAnswers, now: float, token: int) -> None:
@@ -102,3 +112,44 @@
         len(asked),
         len(late),
     )
+
+
+def take_evidence(
+    service: ServiceAnswers, now: float, reporter: str
+) -> EvidencePost | None:
+    """Take a service's outcomes to post them; None if none is bad.
+
+    Good outcomes go along, since a server is judged by its work. Without bad
+    ones they are dropped after a time.
+    """
+    age = now - service.taken_at
+    if not service.has_bad:
+        if age > MAX_EVIDENCE_SECONDS:
+            reset_outcomes(service, now)
+        return None
+    servers = sorted(
+        list_outcomes(service), key=attrgetter('bad', 'good'), reverse=True
+    )
+    busy_seconds = service.busy_seconds
+    reset_outcomes(service, now)
+    return EvidencePost(
+        reporter,
+        service.name,
+        round(age * MILLISECONDS),
+        round(busy_seconds * MILLISECONDS),
+        tuple(servers[:MAX_POSTED_SERVERS]),
+    )
+
+
+def list_outcomes(service: ServiceAnswers) -> Iterator[ServerEvidence]:
+    """Yield the outcomes by server."""
+    for token, one in service.outcomes_by_token.items():
+        yield ServerEvidence(token, one.late, one.short, one.good)
+
+
+def reset_outcomes(service: ServiceAnswers, now: float) -> None:
+    """Begin to count outcomes anew."""
+    service.outcomes_by_token = {}
+    service.has_bad = False
+    service.busy_seconds = 0
+    service.taken_at = now
--- a/src/mustardhold/systems/answer_tracking.py
+++ b/src/mustardhold/systems/answer_tracking.py
@@ -40,8 +40,7 @@
 # Below this many answers, what is usual is not known.
 MIN_ANSWERS = 20
 USUAL_WEIGHT = 0.02
-# Checks run every 100 ms. After a longer gap the process was suspended, and
-# answers may wait unread.
+# Checks run every 100 ms.
 MAX_CHECK_GAP_SECONDS = 0.5
 
 
@@ -71,7 +70,7 @@
     if 0 < advance < HALF_SEQUENCE and not packet.is_reset:
         flow.acknowledged = packet.acknowledged
         if flow.phase is not RequestPhase.IDLE:
-            record_answer_bytes(flow, now)
+            record_answer_bytes(tracking, now, flow)
     if packet.length:
         record_payload(tracking, now, packet, flow, token)
     if packet.is_reset or (packet.is_closing and not packet.length):
@@ -88,7 +87,7 @@
     target: tuple[str, ServiceRoute],
 ) -> None:
     """Track a flow from the first request that is seen of it."""
-    service = track_service(tracking, target[0])
+    service = track_service(tracking, now, target[0])
     route = track_route(tracking, target[1])
     if service is None or route is None:
         tracking.untracked += 1
@@ -101,12 +100,14 @@
     begin_request(tracking, now, packet.flow, flow)
 
 
-def track_service(tracking: AnswerTracking, name: str) -> ServiceAnswers | None:
+def track_service(
+    tracking: AnswerTracking, now: float, name: str
+) -> ServiceAnswers | None:
     """Return the state of a service; None if the table is full."""
     services = tracking.services_by_name
     service = services.get(name)
     if service is None and len(services) < MAX_TRACKED_SERVICES:
-        service = ServiceAnswers(name)
+        service = ServiceAnswers(name, now)
         services[name] = service
     return service
 
@@ -179,7 +180,9 @@
         begin_request(tracking, now, packet.flow, flow)
 
 
-def record_answer_bytes(flow: TrackedFlow, now: float) -> None:
+def record_answer_bytes(
+    tracking: AnswerTracking, now: float, flow: TrackedFlow
+) -> None:
     """Record that the caller received a part of the answer."""
     flow.answered_at = now
     if flow.phase is RequestPhase.ANSWERING:
@@ -187,7 +190,11 @@
     flow.phase = RequestPhase.ANSWERING
     if flow.is_late:
         return
-    flow.is_late = now - flow.requested_at > flow.route.target_seconds
+    elapsed = now - flow.requested_at
+    is_over = elapsed > flow.route.target_seconds
+    flow.is_late = is_over and not was_suspended(tracking, now)
+    if not is_over:
+        flow.service.busy_seconds += elapsed
     count_answer(flow.service, now, flow.token, is_late=flow.is_late)
 
 
@@ -211,13 +218,20 @@
     flow.phase = RequestPhase.IDLE
 
 
+def was_suspended(tracking: AnswerTracking, now: float) -> bool:
+    """Return whether the process has not run for a time until now.
+
+    Answers may have waited unread meanwhile.
+    """
+    return now - tracking.checked_at > MAX_CHECK_GAP_SECONDS
+
+
 def check_due(tracking: AnswerTracking, now: float) -> None:
     """Count the requests that have become late, and the quiet answers.
 
-    A process that was suspended may not have read the answers yet, so what
-    became due meanwhile does not count.
+    What became due while the process was suspended does not count.
     """
-    is_suspended = now - tracking.checked_at > MAX_CHECK_GAP_SECONDS
+    is_suspended = was_suspended(tracking, now)
     tracking.checked_at = now
     while tracking.due and tracking.due[0][0] <= now:
         _, key = heappop(tracking.due)
--- a/src/mustardhold/systems/outlier_avoidance.py
+++ b/src/mustardhold/systems/outlier_avoidance.py
@@ -7,6 +7,7 @@
 """
 
 from mustardhold.systems.answer_counts import count_unanswered_opening
+from mustardhold.systems.suspicions import is_suspect, suspect_tokens
 from mustardhold.tables.constants import (
     AVOID_AFTER_UNANSWERED,
     AVOIDANCE_PERIOD,
@@ -115,6 +116,26 @@
 def is_avoided(
     tables: ForwardingTables, now: float, server: KnownServer
 ) -> bool:
-    """Return whether a server is avoided for unanswered openings."""
+    """Return whether a server is avoided.
+
+    It is if it left openings of this balancer unanswered, or is suspect by
+    what all balancers see.
+    """
     responsiveness = tables.responsiveness_by_token.get(server.token)
-    return responsiveness is not None and now < responsiveness.avoid_until
+    if responsiveness is not None and now < responsiveness.avoid_until:
+        return True
+    if not tables.heeds_suspicions:
+        return False
+    return is_suspect(tables.directory.suspicions, now, server.token)
+
+
+def avoided_tokens(tables: ForwardingTables, now: float) -> set[int]:
+    """Return the tokens of the servers that are avoided."""
+    avoided = {
+        token
+        for token, responsiveness in tables.responsiveness_by_token.items()
+        if now < responsiveness.avoid_until
+    }
+    if tables.heeds_suspicions:
+        avoided.update(suspect_tokens(tables.directory.suspicions, now))
+    return avoided
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from mustardhold.systems.directory import owns_token
-from mustardhold.systems.outlier_avoidance import is_avoided
+from mustardhold.systems.outlier_avoidance import avoided_tokens, is_avoided
 from mustardhold.systems.server_ranking import (
     HASH_RANGE,
     make_ranking,
@@ -112,8 +112,7 @@
     """Return the weight of the local servers that are avoided."""
     avoided = (
         tables.directory.servers_by_token.get(token)
-        for token, responsiveness in tables.responsiveness_by_token.items()
-        if now < responsiveness.avoid_until
+        for token in avoided_tokens(tables, now)
     )
     return sum(
         weigh_server(server, now).weight
--- a/src/mustardhold/tables/answer_tracking.py
+++ b/src/mustardhold/tables/answer_tracking.py
@@ -97,15 +97,18 @@
         Whether any of these outcomes is bad.
     taken_at
         When they were last taken; local clock, in seconds.
+    busy_seconds
+        Sum of the times to the first byte of the answers in time since then.
     """
 
     name: str
+    taken_at: float
     slices: deque[AnswerSlice] = field(
         default_factory=lambda: deque(maxlen=SLICES_PER_WINDOW + 1)
     )
     outcomes_by_token: dict[int, ServerOutcomes] = field(default_factory=dict)
     has_bad: bool = False
-    taken_at: float = float('-inf')
+    busy_seconds: float = 0
 
 
 @dataclass(slots=True)
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -172,6 +172,14 @@
 MAX_LINK_QUEUE_BYTES: Final = 1_048_576
 MIN_LINK_WAIT: Final = timedelta(milliseconds=1)
 
+ANSWER_CHECK_INTERVAL: Final = timedelta(milliseconds=100)
+# Shorter than the time until a caller gives up, so that retries avoid a server.
+EVIDENCE_INTERVAL: Final = timedelta(milliseconds=200)
+EVIDENCE_MAX_PAUSE: Final = timedelta(seconds=2)
+EVIDENCE_TIMEOUT: Final = timedelta(milliseconds=400)
+EVIDENCE_TRIES: Final = 3
+EVIDENCE_FAILURE_PERIOD: Final = timedelta(seconds=5)
+
 LOG_LINES_PER_SECOND: Final = 20.0
 LOG_LINES_BURST: Final = 100.0
 MAX_LOG_BACKLOG_BYTES: Final = 65_536
--- a/src/mustardhold/tables/directory.py
+++ b/src/mustardhold/tables/directory.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from mustardhold.tables.suspicions import Suspicions
+
 LAST_SEQUENCE: Final = 2**62
 """Sequence of the final report of an incarnation; all others are lower."""
 
@@ -118,6 +120,8 @@
         Servers that have ceased to report without having ended.
     silent_revision
         Number of changes of ``silent_tokens``.
+    suspicions
+        Servers that answer worse than others, by what all balancers see.
     """
 
     servers_by_id: dict[str, KnownServer] = field(default_factory=dict)
@@ -128,3 +132,4 @@
     heard_count: int = 0
     silent_tokens: frozenset[int] = frozenset()
     silent_revision: int = 0
+    suspicions: Suspicions = field(default_factory=Suspicions)
--- a/src/mustardhold/tables/feed.py
+++ b/src/mustardhold/tables/feed.py
@@ -7,6 +7,7 @@
 
 from mustardhold.tables.directory import DirectoryRow
 from mustardhold.tables.evacuations import EvacuationState
+from mustardhold.tables.suspicions import Suspect
 
 FEED_PATH: Final = '/feed'
 DOCUMENT_PATH: Final = '/document'
@@ -28,12 +29,15 @@
         Number of reports that it had received from servers itself.
     silent_revision
         Revision of its set of silent servers.
+    suspect_revision
+        Revision of its suspicions.
     """
 
     run_id: str = ''
     revision: int = 0
     heard_count: int = 0
     silent_revision: int = 0
+    suspect_revision: int = 0
 
 
 class FeedRequest(msgspec.Struct, frozen=True):
@@ -110,6 +114,8 @@
     evacuations
         The evacuated data centres; ``None`` if the watcher knows a revision
         that is at least as high.
+    suspects
+        Suspicions that began or changed; all if the watcher had merged nothing.
     """
 
     position: FeedPosition
@@ -123,6 +129,7 @@
     relays: tuple[str, ...] = ()
     is_settled: bool = False
     evacuations: EvacuationState | None = None
+    suspects: tuple[Suspect, ...] = ()
 
 
 class ReceivedReply(NamedTuple):
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -217,6 +217,8 @@
         As of when the configuration in force is known to be the latest one.
     evacuations
         Data centres whose servers get no new flows.
+    heeds_suspicions
+        Whether suspect servers are avoided.
     answers
         How servers answer requests of routes with a target latency.
     """
@@ -244,5 +246,6 @@
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
+    heeds_suspicions: bool = True
     answers: AnswerTracking = field(default_factory=AnswerTracking)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -111,6 +111,9 @@
     link_bytes_per_second
         Rate of the instance's own link; 0 if unknown, then packets are sent as
         they come.
+    shares_evidence
+        Whether the balancer reports servers that answer badly, and avoids those
+        that the whole fleet's reports make suspect.
     """
 
     instance_id: Name
@@ -122,3 +125,4 @@
     control_addresses: tuple[Address, ...]
     stop_grace: timedelta = STOP_GRACE
     link_bytes_per_second: float = 0
+    shares_evidence: bool = True
--- /dev/null
+++ b/tests/test_evidence_daemons.py
@@ -0,0 +1,182 @@
+"""Tests the way of evidence to a collector, and of suspicions back."""
+
+import logging
+from collections import Counter
+
+import msgspec
+import pytest
+
+from mustardhold.adapters.http_app import HandlerRequest
+from mustardhold.adapters.http_client import HttpClient, HttpResponse
+from mustardhold.daemons import evidence_posts
+from mustardhold.daemons.evidence_handlers import EvidenceDesk, handle_evidence
+from mustardhold.daemons.evidence_posts import (
+    EvidencePoster,
+    post_evidence,
+    take_due,
+)
+from mustardhold.daemons.feed_handlers import (
+    FeedPublisher,
+    Watcher,
+    has_updates,
+    make_reply,
+)
+from mustardhold.systems.suspicions import suspect_tokens, suspect_until
+from mustardhold.tables.answer_tracking import ServerOutcomes, ServiceAnswers
+from mustardhold.tables.configurations import NO_DOCUMENT
+from mustardhold.tables.directory import Directory
+from mustardhold.tables.feed import FeedPosition, FeedRequest
+from mustardhold.tables.forwarding import ForwardingTables
+from mustardhold.tables.outcomes import Err, Ok
+from tools.fakes.clock import FakeClock
+from tools.fakes.evidence_fleet import SERVICE, Fleet, play
+
+CONTROLS = {'10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1'}
+
+
+def make_poster(monkeypatch, dead):
+    """Make a poster whose requests to dead addresses fail."""
+    asked = []
+
+    async def send(client, request, seconds):
+        asked.append(request.address)
+        if request.address in dead:
+            return Err('timed out')
+        return Ok(HttpResponse(200, b'{"pause_ms":900}'))
+
+    monkeypatch.setattr(evidence_posts, 'send_request', send)
+    tracking = ForwardingTables().answers
+    clock = FakeClock(10)
+    service = ServiceAnswers(SERVICE, 9)
+    tracking.services_by_name[SERVICE] = service
+    poster = EvidencePoster(
+        'b-1', tracking, lambda: CONTROLS, clock, HttpClient(), Counter()
+    )
+    return poster, service, asked
+
+
+def see(service, late):
+    service.outcomes_by_token[7] = ServerOutcomes(late, 0, 3)
+    service.has_bad = late > 0
+
+
+async def test_dead_collector_stops_the_evidence(monkeypatch):
+    dead = set()
+    poster, service, asked = make_poster(monkeypatch, dead)
+    see(service, late=2)
+    (post,) = take_due(poster)
+    await post_evidence(poster, post)
+    dead.update(asked)
+    await post_evidence(poster, post)
+    # The dead one is asked once, and then only after the others.
+    await post_evidence(poster, post)
+    assert asked[0] == asked[1]
+    assert asked[2] == asked[3] != asked[0]
+    dead.update(CONTROLS)
+    await post_evidence(poster, post)
+    assert len(asked) == 7
+    assert poster.counters['evidence', 'lost'] == 1
+
+
+async def test_posts_without_bad_news_or_within_the_pause(monkeypatch):
+    poster, service, _ = make_poster(monkeypatch, set())
+    see(service, late=0)
+    assert not take_due(poster)
+    see(service, late=1)
+    (post,) = take_due(poster)
+    assert post.servers[0] == msgspec.convert(
+        [7, 1, 0, 3], type(post.servers[0])
+    )
+    await post_evidence(poster, post)
+    see(service, late=1)
+    assert not take_due(poster)
+    poster.clock.seconds += 0.9
+    assert take_due(poster)
+
+
+def make_desk():
+    fleet = play(Fleet(rate=0.001), 0.001)
+    woken = []
+    desk = EvidenceDesk(
+        fleet.directory,
+        FakeClock(10),
+        logging.getLogger('test'),
+        Counter(),
+        lambda: woken.append(1),
+    )
+    return desk, list(fleet.directory.servers_by_token), woken
+
+
+POST = {
+    'reporter': 'b-1',
+    'service': SERVICE,
+    'age_ms': 5,
+    'busy_ms': 5,
+    'servers': [[1, 1, 0, 0]],
+}
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"reporter":"b"}',
+        *(
+            msgspec.json.encode(POST | changes)
+            for changes in (
+                {'servers': [[1, -1, 0, 0]]},
+                {'servers': POST['servers'] * 600},
+                {'reporter': ''},
+                {'busy_ms': -1},
+                {'more': 1},
+            )
+        ),
+    ],
+)
+async def test_malformed_evidence_is_taken_in(body):
+    desk, _, woken = make_desk()
+    reply = await handle_evidence(desk, HandlerRequest({}, body))
+    assert reply.status == 400
+    assert desk.counters['evidence', 'malformed'] == 1
+    assert not desk.collector.services_by_name
+    assert not woken
+
+
+async def test_suspicion_is_not_logged_with_its_inputs(caplog):
+    caplog.set_level(logging.INFO)
+    desk, tokens, woken = make_desk()
+    for reporter in ('b-1', 'b-2'):
+        desk.clock.seconds += 0.2
+        servers = [[tokens[0], 0, 3, 1]]
+        post = POST | {'reporter': reporter, 'servers': servers}
+        body = msgspec.json.encode(post)
+        reply = await handle_evidence(desk, HandlerRequest({}, body))
+        assert reply.status == 200
+    (record,) = caplog.records
+    assert record.message == 'suspicion began'
+    assert (record.short, record.good, record.reporters) == (6, 2, 2)
+    assert suspect_tokens(
+        desk.directory.suspicions, desk.clock.monotonic()
+    ) == [tokens[0]]
+    assert woken
+
+
+def test_feed_repeats_suspicions_that_did_not_change():
+    clock, directory = FakeClock(10), Directory()
+    feed = FeedPublisher(
+        'run', directory, lambda: NO_DOCUMENT, clock.monotonic, tuple, clock, 9
+    )
+    for is_control in (False, True):
+        query = FeedRequest('w', is_control=is_control)
+        suspect_until(directory.suspicions, clock.seconds, 7, clock.seconds + 4)
+        known = FeedPosition('run')
+        assert has_updates(feed, known, query)
+        reply = make_reply(feed, Watcher(), known, query, 0)
+        assert [tuple(msgspec.to_builtins(one)) for one in reply.suspects] == [
+            (7, 4_000)
+        ]
+        assert not has_updates(feed, reply.position, query)
+        later = make_reply(feed, Watcher(), reply.position, query, 0)
+        assert not later.suspects
+        clock.seconds += 20
