--- a/src/mustardhold/systems/answer_counts.py
+++ b/src/mustardhold/systems/answer_counts.py
@@ -4,6 +4,7 @@
 from operator import attrgetter
 
 from mustardhold.tables.answer_tracking import (
+    MAX_BEGUN_PER_SLICE,
     MAX_TRACKED_SERVERS,
     SLICE_SECONDS,
     SLICES_PER_WINDOW,
@@ -24,11 +25,14 @@
 MILLISECONDS = 1000
 
 
-def count_begun(service: ServiceAnswers, now: float, token: int) -> None:
-    """Count a request that began."""
+def count_begun(service: ServiceAnswers, now: float, token: int) -> bool:
+    """Count a request that began; return whether to track it."""
     current = current_slice(service, now)
+    if current.begun >= MAX_BEGUN_PER_SLICE:
+        return False
     current.begun += 1
     current.asked_tokens.add(token)
+    return True
 
 
 def count_answer(
--- a/src/mustardhold/systems/answer_tracking.py
+++ b/src/mustardhold/systems/answer_tracking.py
@@ -26,8 +26,12 @@
     TrackedFlow,
 )
 from mustardhold.tables.configurations import ServiceRoute
+from mustardhold.tables.directory import KnownServer
 from mustardhold.tables.forwarding import CallerPacket
 
+# As names of the module they cost less for each packet.
+IDLE, WAITING, ANSWERING = RequestPhase
+
 # Sequence numbers and acknowledgements have 32 bits and wrap.
 SEQUENCE_MASK = 2**32 - 1
 HALF_SEQUENCE = 2**31
@@ -48,34 +52,38 @@
     tracking: AnswerTracking,
     now: float,
     packet: CallerPacket,
-    token: int,
-    target: tuple[str, ServiceRoute],
+    server: KnownServer,
+    route: ServiceRoute,
 ) -> None:
     """Track a packet of an open flow.
 
+    Most packets only acknowledge, so little is done for them.
+
     Parameters
     ----------
-    token
+    server
         Server that the packet is forwarded to.
-    target
-        Service of that server, and the route of the flow, which must have a
-        target latency.
+    route
+        Route of the flow, which must have a target latency.
     """
     flow = tracking.flows_by_key.get(packet.flow)
     if flow is None:
-        if packet.length and not packet.is_reset:
-            start_tracking(tracking, now, packet, token, target)
+        start_tracking(tracking, now, packet, server, route)
+        return
+    if packet.is_reset:
+        tracking.flows_by_key.pop(packet.flow)
         return
     advance = (packet.acknowledged - flow.acknowledged) & SEQUENCE_MASK
-    if 0 < advance < HALF_SEQUENCE and not packet.is_reset:
+    if advance and advance < HALF_SEQUENCE:
         flow.acknowledged = packet.acknowledged
-        if flow.phase is not RequestPhase.IDLE:
-            record_answer_bytes(tracking, now, flow)
+        if flow.phase is ANSWERING:
+            flow.answered_at = now
+        elif flow.phase is WAITING:
+            record_first_bytes(tracking, now, flow)
     if packet.length:
-        record_payload(tracking, now, packet, flow, token)
-    if packet.is_reset or (packet.is_closing and not packet.length):
-        if packet.is_closing:
-            complete_answer(flow)
+        record_payload(tracking, now, packet, flow, server.token)
+    elif packet.is_closing:
+        complete_answer(flow)
         tracking.flows_by_key.pop(packet.flow)
 
 
@@ -83,21 +91,28 @@
     tracking: AnswerTracking,
     now: float,
     packet: CallerPacket,
-    token: int,
-    target: tuple[str, ServiceRoute],
+    server: KnownServer,
+    route: ServiceRoute,
 ) -> None:
-    """Track a flow from the first request that is seen of it."""
-    service = track_service(tracking, now, target[0])
-    route = track_route(tracking, target[1])
-    if service is None or route is None:
+    """Track a flow from the first payload that is seen of it."""
+    if not packet.length or packet.is_reset:
+        return
+    service = track_service(tracking, now, server.report.service)
+    answers = track_route(tracking, route)
+    if service is None or answers is None:
         tracking.untracked += 1
         return
+    if not count_begun(service, now, server.token):
+        return
     if len(tracking.flows_by_key) >= MAX_TRACKED_FLOWS:
         oldest = tracking.flows_by_key.pop(next(iter(tracking.flows_by_key)))
-        tracking.untracked += oldest.phase is RequestPhase.WAITING
+        tracking.untracked += oldest.phase is WAITING
     end = (packet.sequence + packet.length) & SEQUENCE_MASK
-    flow = TrackedFlow(token, service, route, end, packet.acknowledged)
-    begin_request(tracking, now, packet.flow, flow)
+    tracked = TrackedFlow(
+        server.token, service, answers, end, packet.acknowledged
+    )
+    tracking.flows_by_key[packet.flow] = tracked
+    begin_request(tracking, now, packet.flow, tracked)
 
 
 def track_service(
@@ -121,23 +136,22 @@
     if known is None:
         if len(routes) >= MAX_TRACKED_ROUTES:
             return None
-        known = RouteAnswers(0)
+        known = RouteAnswers()
         routes[route.name] = known
-    known.target_seconds = route.target_latency.total_seconds()
+    if known.target_latency is not route.target_latency:
+        known.target_latency = route.target_latency
+        known.target_seconds = route.target_latency.total_seconds()
     return known
 
 
 def begin_request(
     tracking: AnswerTracking, now: float, key: bytes, flow: TrackedFlow
 ) -> None:
-    """Begin a request of a flow; the flow becomes the newest one."""
-    flow.phase = RequestPhase.WAITING
+    """Begin a request of a flow that has been counted."""
+    flow.phase = WAITING
     flow.is_late = False
     flow.requested_at = now
     flow.acknowledged_before = flow.acknowledged
-    tracking.flows_by_key.pop(key, None)
-    tracking.flows_by_key[key] = flow
-    count_begun(flow.service, now, flow.token)
     if not flow.is_scheduled:
         schedule_check(tracking, now + flow.route.target_seconds, key, flow)
 
@@ -172,22 +186,25 @@
     is_new = (end - flow.sent) & SEQUENCE_MASK < HALF_SEQUENCE
     if is_new:
         flow.sent = end
-    if flow.phase is RequestPhase.WAITING:
+    if flow.phase is WAITING:
         flow.requested_at = now
     elif is_new:
         complete_answer(flow)
+        if not count_begun(flow.service, now, token):
+            return
         flow.token = token
+        # Moves the flow to the end of the mapping, after earlier requests.
+        tracking.flows_by_key.pop(packet.flow)
+        tracking.flows_by_key[packet.flow] = flow
         begin_request(tracking, now, packet.flow, flow)
 
 
-def record_answer_bytes(
+def record_first_bytes(
     tracking: AnswerTracking, now: float, flow: TrackedFlow
 ) -> None:
-    """Record that the caller received a part of the answer."""
+    """Record that the caller received the first part of the answer."""
     flow.answered_at = now
-    if flow.phase is RequestPhase.ANSWERING:
-        return
-    flow.phase = RequestPhase.ANSWERING
+    flow.phase = ANSWERING
     if flow.is_late:
         return
     elapsed = now - flow.requested_at
@@ -200,7 +217,7 @@
 
 def complete_answer(flow: TrackedFlow) -> None:
     """Classify an answer that is complete, if any has arrived."""
-    if flow.phase is RequestPhase.ANSWERING:
+    if flow.phase is ANSWERING:
         route = flow.route
         length = (flow.acknowledged - flow.acknowledged_before) & SEQUENCE_MASK
         is_short = (
@@ -215,7 +232,7 @@
             outcomes.short += is_short
             outcomes.good += not is_short
             flow.service.has_bad = flow.service.has_bad or is_short
-    flow.phase = RequestPhase.IDLE
+    flow.phase = IDLE
 
 
 def was_suspended(tracking: AnswerTracking, now: float) -> bool:
@@ -240,7 +257,7 @@
             continue
         flow.is_scheduled = False
         if is_suspended:
-            flow.phase = RequestPhase.IDLE
+            flow.phase = IDLE
             continue
         next_at = check_flow(flow, now)
         if next_at is not None:
@@ -249,14 +266,14 @@
 
 def check_flow(flow: TrackedFlow, now: float) -> float | None:
     """Check a request; return when to check it again, if at all."""
-    if flow.phase is RequestPhase.WAITING:
+    if flow.phase is WAITING:
         late_at = flow.requested_at + flow.route.target_seconds
         if now < late_at:
             return late_at
         if not flow.is_late:
             flow.is_late = True
             count_answer(flow.service, now, flow.token, is_late=True)
-    elif flow.phase is RequestPhase.ANSWERING:
+    elif flow.phase is ANSWERING:
         quiet_at = flow.answered_at + QUIET_SECONDS
         if now < quiet_at:
             return quiet_at
--- a/src/mustardhold/systems/token_forwarding.py
+++ b/src/mustardhold/systems/token_forwarding.py
@@ -76,11 +76,9 @@
     if holder is None:
         return reset_or_drop(packet, DropCause.FLOW_ENDED)
     record_answer(tables, now, packet.flow, server)
-    service = holder.report.service
     if route.target_latency:
-        target = (service, route)
-        track_packet(tables.answers, now, packet, holder.token, target)
-    return Forward((holder,), service)
+        track_packet(tables.answers, now, packet, holder, route)
+    return Forward((holder,), holder.report.service)
 
 
 def decide_opening(
--- a/src/mustardhold/tables/answer_tracking.py
+++ b/src/mustardhold/tables/answer_tracking.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from datetime import timedelta
 from enum import Enum, auto
 from typing import Final
 
@@ -19,6 +20,9 @@
 MAX_TRACKED_SERVERS: Final = 4_096
 SLICE_SECONDS: Final = 0.1
 SLICES_PER_WINDOW: Final = 10
+# A request takes some 10 microseconds to track. Above 500 a second of a service
+# a sample tells as much, and leaves the core to the packets.
+MAX_BEGUN_PER_SLICE: Final = 50
 
 
 class RequestPhase(Enum):
@@ -35,7 +39,7 @@
     Attributes
     ----------
     begun
-        Requests that began.
+        Requests that began; of more than 500 a second only these are tracked.
     in_time, late
         Requests whose answer began within the target latency, and those whose
         answer did not; each counted when that is known.
@@ -123,7 +127,8 @@
         Moving average of their length.
     """
 
-    target_seconds: float
+    target_latency: timedelta = timedelta()
+    target_seconds: float = 0
     answers: int = 0
     usual_bytes: float = 0
 
--- a/tests/test_token_forwarding.py
+++ b/tests/test_token_forwarding.py
@@ -8,6 +8,7 @@
 from mustardhold.systems.directory import final_report, merge_report, token_of
 from mustardhold.systems.server_choice import index_ready_servers
 from mustardhold.systems.startup_queue import hold_until_ready, pop_held_packets
+from mustardhold.systems.suspicions import suspect_until
 from mustardhold.systems.token_forwarding import (
     decide_packet,
     install_configuration,
@@ -462,6 +463,25 @@
     assert dropped == MAX_HELD_AT_START + 3
 
 
+@pytest.mark.parametrize('heeds', [True, False])
+def test_suspect_server_gets_flows_while_there_are_others(heeds):
+    tables = tables_of(*(server(number) for number in range(1, 5)))
+    tables.data_centre = 'dc-1'
+    tables.heeds_suspicions = heeds
+    tokens = list(tables.directory.servers_by_token)
+    suspicions = tables.directory.suspicions
+    suspect_until(suspicions, NOW - 1, tokens[0], NOW + 1)
+    suspect_until(suspicions, NOW - 1, tokens[1], NOW)
+    asked = Counter()
+    for port in range(100):
+        asked.update(chosen_servers(tables, opening_packet(port)))
+    assert ('i-1' in asked) != heeds
+    assert {'i-2', 'i-3', 'i-4'} <= set(asked)
+    for token in tokens:
+        suspect_until(suspicions, NOW - 1, token, NOW + 5)
+    assert chosen_servers(tables, opening_packet(1))
+
+
 def test_a_data_centre_with_few_servers_gets_its_share_only():
     centres = ('dc-1', 'dc-2', 'dc-2', 'dc-3', 'dc-3', 'dc-4', 'dc-4')
     servers = [
--- a/tools/fakes/evidence_fleet.py
+++ b/tools/fakes/evidence_fleet.py
@@ -187,7 +187,8 @@
     index, token, flow = place
     packet = CallerPacket(flow, ADDRESS, token, 0, 0, False, False)
     packet = packet._replace(**fields)
-    track_packet(run.trackings[index], now, packet, token, (SERVICE, ROUTE))
+    server = run.fleet.directory.servers_by_token[token]
+    track_packet(run.trackings[index], now, packet, server, ROUTE)
 
 
 def post(run: Play, index: int, now: float) -> None:
