Bound what one balancer or a large directory costs the collector

One balancer that reports an absurd load ended all suspicions, since no more than the idle slots may be suspect: its load now counts for no more than that of all others together. Loads are scaled by the sample that is tracked. Each judgement looked through all servers of all services; the collector now lists them by service once a second. A collector that does not respond delayed the posts for other services; these go on now.

--- a/src/mustardhold/daemons/evidence_posts.py
+++ b/src/mustardhold/daemons/evidence_posts.py
@@ -78,22 +78,27 @@
     The services have different collectors, so one that does not respond must
     not delay the others.
     """
-    while True:
-        await trio.sleep(EVIDENCE_INTERVAL.total_seconds())
-        async with trio.open_nursery() as nursery:
+    async with trio.open_nursery() as nursery:
+        while True:
+            await trio.sleep(EVIDENCE_INTERVAL.total_seconds())
             for post in take_due(poster):
                 nursery.start_soon(post_evidence, poster, post)
 
 
 def take_due(poster: EvidencePoster) -> list[EvidencePost]:
-    """Take the evidence of the services that may be posted now."""
+    """Take the evidence of the services that may be posted now.
+
+    No other post of a service is sent while one may be in progress.
+    """
     now = poster.clock.monotonic()
+    longest = EVIDENCE_TRIES * EVIDENCE_TIMEOUT.total_seconds()
     due: list[EvidencePost] = []
     for name, service in poster.tracking.services_by_name.items():
         if now >= poster.next_at.get(name, now):
             post = take_evidence(service, now, poster.reporter)
             if post is not None:
                 due.append(post)
+                poster.next_at[name] = now + longest
     return due
 
 
@@ -117,6 +122,7 @@
         poster.failed_at[address] = now
         poster.counters['evidence', 'post-failed'] += 1
     poster.counters['evidence', 'lost'] += 1
+    poster.next_at.pop(post.service, None)
 
 
 def rank_collectors(poster: EvidencePoster, service: str) -> list[str]:
--- a/src/mustardhold/systems/answer_counts.py
+++ b/src/mustardhold/systems/answer_counts.py
@@ -29,7 +29,9 @@
     """Count a request that began; return whether to track it."""
     current = current_slice(service, now)
     if current.begun >= MAX_BEGUN_PER_SLICE:
+        service.left_out += 1
         return False
+    service.begun += 1
     current.begun += 1
     current.asked_tokens.add(token)
     return True
@@ -134,7 +136,8 @@
     servers = sorted(
         list_outcomes(service), key=attrgetter('bad', 'good'), reverse=True
     )
-    busy_seconds = service.busy_seconds
+    left_out = service.left_out / max(service.begun, 1)
+    busy_seconds = service.busy_seconds * (1 + left_out)
     reset_outcomes(service, now)
     return EvidencePost(
         reporter,
@@ -156,4 +159,6 @@
     service.outcomes_by_token = {}
     service.has_bad = False
     service.busy_seconds = 0
+    service.begun = 0
+    service.left_out = 0
     service.taken_at = now
--- a/src/mustardhold/systems/evidence_window.py
+++ b/src/mustardhold/systems/evidence_window.py
@@ -120,13 +120,18 @@
 
 
 def sum_load(service: ServiceEvidence, now: float) -> float:
-    """Return the number of requests in progress by the latest reports."""
+    """Return the number of requests in progress by the latest reports.
+
+    The balancer with the most counts for no more than all others together: one
+    that lies must not end all suspicions.
+    """
     oldest = now - MAX_EVIDENCE_SECONDS
-    return sum(
+    loads = [
         load.in_progress
         for load in service.loads_by_reporter.values()
         if load.reported_at > oldest
-    )
+    ]
+    return min(sum(loads), 2 * (sum(loads) - max(loads, default=0)))
 
 
 def add_to_sum(
--- a/src/mustardhold/systems/server_evidence.py
+++ b/src/mustardhold/systems/server_evidence.py
@@ -41,6 +41,7 @@
 # A suspicion that begins this soon after the last one lasts twice as long.
 RECURRENCE_SECONDS = 10.0
 JUDGING_INTERVAL_SECONDS = 0.1
+INDEX_LIFETIME_SECONDS = 1.0
 
 
 class Candidate(NamedTuple):
@@ -92,13 +93,7 @@
     if service is None or now < service.judged_at + JUDGING_INTERVAL_SECONDS:
         return []
     service.judged_at = now
-    ready = [
-        server
-        for server in directory.servers_by_id.values()
-        if server.report.service == name
-        and server.report.state is ServerState.READY
-        and server.report.slots > 0
-    ]
+    ready = list(find_ready(collector, directory, now, name))
     trusted = [
         server
         for server in ready
@@ -121,6 +116,31 @@
     ]
 
 
+def find_ready(
+    collector: EvidenceCollector, directory: Directory, now: float, name: str
+) -> Iterator[KnownServer]:
+    """Yield the servers of a service that get new flows.
+
+    To look through tens of thousands of servers at each judgement would cost
+    too much, so new servers are taken in once a second.
+    """
+    known = collector.servers
+    if now >= known.made_at + INDEX_LIFETIME_SECONDS:
+        known.made_at = now
+        known.tokens_by_service = {}
+        for server in directory.servers_by_id.values():
+            tokens = known.tokens_by_service.setdefault(
+                server.report.service, []
+            )
+            tokens.append(server.token)
+    for token in known.tokens_by_service.get(name, ()):
+        found = directory.servers_by_token.get(token)
+        if found is None or found.report.slots <= 0:
+            continue
+        if found.report.state is ServerState.READY:
+            yield found
+
+
 def count_slots(servers: Iterable[KnownServer]) -> int:
     """Return the number of slots of servers."""
     return sum(server.report.slots for server in servers)
--- a/src/mustardhold/tables/answer_tracking.py
+++ b/src/mustardhold/tables/answer_tracking.py
@@ -103,6 +103,9 @@
         When they were last taken; local clock, in seconds.
     busy_seconds
         Sum of the times to the first byte of the answers in time since then.
+    begun, left_out
+        Requests since then that are tracked, and those that the sample leaves
+        out.
     """
 
     name: str
@@ -113,6 +116,8 @@
     outcomes_by_token: dict[int, ServerOutcomes] = field(default_factory=dict)
     has_bad: bool = False
     busy_seconds: float = 0
+    begun: int = 0
+    left_out: int = 0
 
 
 @dataclass(slots=True)
--- a/src/mustardhold/tables/server_evidence.py
+++ b/src/mustardhold/tables/server_evidence.py
@@ -152,6 +152,17 @@
     judged_at: float = float('-inf')
 
 
+@dataclass(slots=True)
+class CollectedServers:
+    """Tokens of all servers by service, kept for a time.
+
+    ``made_at`` is on the local clock, in seconds.
+    """
+
+    made_at: float = float('-inf')
+    tokens_by_service: dict[str, list[int]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class EvidenceCollector:
     """State of a control instance that collects evidence.
@@ -160,10 +171,13 @@
     ----------
     terms_by_token
         Latest suspicions that this collector began.
+    servers
+        Servers of the directory by service.
     """
 
     services_by_name: dict[str, ServiceEvidence] = field(default_factory=dict)
     terms_by_token: dict[int, SuspicionTerm] = field(default_factory=dict)
+    servers: CollectedServers = field(default_factory=CollectedServers)
 
 
 class Judgement(msgspec.Struct, frozen=True):
--- a/tests/test_answer_tracking.py
+++ b/tests/test_answer_tracking.py
@@ -5,12 +5,13 @@
 
 import pytest
 
-from mustardhold.systems.answer_counts import recent_answers
+from mustardhold.systems.answer_counts import recent_answers, take_evidence
 from mustardhold.systems.answer_tracking import check_due, track_packet
 from mustardhold.tables.answer_tracking import (
     MAX_TRACKED_FLOWS,
     AnswerTracking,
     RecentAnswers,
+    ServerOutcomes,
 )
 from mustardhold.tables.configurations import (
     RequestKind,
@@ -153,3 +154,17 @@
         send(tracking, 1 + flow / 2_000, flow=flow, len=50)
     assert recent_answers(tracking, 'shop', 1.6).begun <= 250
     assert len(tracking.flows_by_key) <= 250
+
+
+def test_sample_hides_the_load():
+    """2,000 requests/s of 0.1 s each: 200 in progress."""
+    tracking = AnswerTracking()
+    for flow in range(1_000):
+        now = 1 + flow / 2_000
+        send(tracking, now, flow=flow, len=50)
+        send(tracking, now + 0.1, flow=flow, ack=900)
+    service = tracking.services_by_name['shop']
+    service.outcomes_by_token[7] = ServerOutcomes(late=1)
+    service.has_bad = True
+    post = take_evidence(service, 1.5, 'b-1')
+    assert post.busy_ms / post.age_ms == pytest.approx(200, rel=0.05)
