Test that suspicions end in time where the feed brings them

A reply that was held up counts from when it may have been made, so a suspicion must not outlast its end at a balancer.

--- a/tests/test_evidence_daemons.py
+++ b/tests/test_evidence_daemons.py
@@ -21,13 +21,22 @@
     has_updates,
     make_reply,
 )
+from mustardhold.daemons.feed_polls import merge_reply
+from mustardhold.daemons.feed_state import FeedClient, WatcherIdentity
 from mustardhold.systems.suspicions import suspect_tokens, suspect_until
 from mustardhold.tables.answer_tracking import ServerOutcomes, ServiceAnswers
 from mustardhold.tables.configurations import NO_DOCUMENT
 from mustardhold.tables.directory import Directory
-from mustardhold.tables.feed import FeedPosition, FeedRequest
+from mustardhold.tables.feed import (
+    FeedPosition,
+    FeedReply,
+    FeedRequest,
+    FeedSource,
+    ReceivedReply,
+)
 from mustardhold.tables.forwarding import ForwardingTables
 from mustardhold.tables.outcomes import Err, Ok
+from mustardhold.tables.suspicions import Suspect
 from tools.fakes.clock import FakeClock
 from tools.fakes.evidence_fleet import SERVICE, Fleet, play
 
@@ -162,6 +171,30 @@
     assert woken
 
 
+@pytest.mark.parametrize('held_up', [0, 1.5])
+def test_suspicion_lasts_longer_where_it_is_received(held_up):
+    clock, directory, woken = FakeClock(10), Directory(), []
+    client = FeedClient(
+        WatcherIdentity('b-1', 'dc-1', ''),
+        directory,
+        clock,
+        logging.getLogger('test'),
+        Counter(),
+        2,
+        set(),
+        None,
+        lambda _: None,
+        woken.append,
+    )
+    reply = FeedReply(FeedPosition('run'), (), 1, suspects=(Suspect(7, 2_000),))
+    received = ReceivedReply(reply, clock.seconds - held_up)
+    merge_reply(client, 'address', FeedSource(), received)
+    assert woken
+    for age, expected in ((1.9, [7]), (2.1, [])):
+        now = 10 - held_up + age
+        assert suspect_tokens(directory.suspicions, now) == expected
+
+
 def test_feed_repeats_suspicions_that_did_not_change():
     clock, directory = FakeClock(10), Directory()
     feed = FeedPublisher(
