Merge main into the work on server health

Both sides added fields, handlers and gauges at the same places; all are kept. The balancer module had too many imports with both, so its metrics and the start of its evidence tasks are modules of their own now.

--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -25,6 +25,10 @@
 )
 from mustardhold.daemons.early_feed import EarlyFeed, stop_early_feed
 from mustardhold.daemons.error_reporting import report_error
+from mustardhold.daemons.evacuation_handlers import (
+    handle_order,
+    show_evacuations,
+)
 from mustardhold.daemons.evidence_handlers import (
     end_suspicions_periodically,
     handle_evidence,
@@ -47,6 +51,7 @@
     MAX_CONFIGURATION_BYTES,
     MAX_REPLICA_BODY_BYTES,
 )
+from mustardhold.tables.evacuations import EVACUATIONS_PATH
 from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
 from mustardhold.tables.server_evidence import EVIDENCE_PATH
 
@@ -82,6 +87,12 @@
         ('POST', EVIDENCE_PATH): functools.partial(
             handle_evidence, control.evidence_desk
         ),
+        ('POST', EVACUATIONS_PATH): functools.partial(
+            handle_order, control.node
+        ),
+        ('GET', EVACUATIONS_PATH): functools.partial(
+            show_evacuations, control.node
+        ),
     }
 
 
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -12,11 +12,7 @@
     forget_servers_periodically,
 )
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
-from mustardhold.daemons.evidence_posts import (
-    EvidencePoster,
-    check_answers_periodically,
-    post_evidence_periodically,
-)
+from mustardhold.daemons.evidence_tasks import start_evidence_tasks
 from mustardhold.daemons.feed_client import run_feed_client
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
@@ -30,10 +26,11 @@
     WatcherIdentity,
 )
 from mustardhold.daemons.link_sending import LinkSender, run_link_sender
-from mustardhold.daemons.metrics_server import MetricsSnapshot, serve_metrics
+from mustardhold.daemons.metrics_server import serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.report_logs import log_report
 from mustardhold.daemons.signals import AsyncTask, stop_on_signal
+from mustardhold.daemons.token_metrics import collect_metrics
 from mustardhold.daemons.token_packets import (
     Codecs,
     TokenBalancer,
@@ -42,23 +39,20 @@
 )
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
 from mustardhold.systems.draining import Drain, is_drained
+from mustardhold.systems.fleet_count import count_followers
 from mustardhold.systems.link_queue import (
     is_empty,
-    make_link_gauges,
     make_link_queue,
 )
 from mustardhold.systems.liveness import forget_silent_servers
-from mustardhold.systems.suspicions import suspect_tokens
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.constants import (
     DRAIN_CHECK_INTERVAL,
     FEED_WATCHERS_PER_BALANCER,
     WATCHED_CONTROLS,
 )
-from mustardhold.tables.directory import ServerState
 from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
 from mustardhold.tables.forwarding import ForwardingTables
-from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import TokenBalancerOptions
 
 
@@ -72,6 +66,7 @@
     tables = ForwardingTables(
         options.data_centre, heeds_suspicions=options.shares_evidence
     )
+    tables.cold_limits.name = options.instance_id
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id,
@@ -92,6 +87,8 @@
         ),
         functools.partial(log_report, log),
         lambda received: handle_feed_reply(balancer, received),
+        lambda: tables.evacuations.revision,
+        lambda: count_followers(feed.watchers_by_name.values()),
     )
     feed = FeedPublisher(
         make_run_id(),
@@ -101,6 +98,8 @@
         lambda: tuple(sorted(feed_client.known_addresses)),
         clock,
         FEED_WATCHERS_PER_BALANCER,
+        lambda: tables.evacuations,
+        lambda: tables.cold_limits.balancers,
     )
     balancer = TokenBalancer(
         options,
@@ -124,43 +123,6 @@
     return balancer
 
 
-def collect_metrics(balancer: TokenBalancer) -> MetricsSnapshot:
-    """Collect the balancer's counters, histograms and gauges of its tables."""
-    tables, now = balancer.tables, balancer.clock.monotonic()
-    ready = sum(
-        known.report.state is ServerState.READY
-        for known in tables.directory.servers_by_id.values()
-    )
-    gauges = [
-        Gauge(
-            'configuration_version',
-            'Version in force',
-            configuration_version(tables),
-        ),
-        Gauge('ready_servers', 'Servers that may get new flows', ready),
-        Gauge(
-            'control_silence_seconds',
-            'Time since a current control instance told its state',
-            now - tables.last_feed_at,
-        ),
-        Gauge(
-            'suspect_servers',
-            'Servers that answer worse than others',
-            len(suspect_tokens(tables.directory.suspicions, now)),
-        ),
-        Gauge(
-            'untracked_requests',
-            'Requests whose answers could not be tracked since the start',
-            tables.answers.untracked,
-        ),
-    ]
-    if balancer.link is not None:
-        gauges.extend(make_link_gauges(balancer.link.queue))
-    return MetricsSnapshot(
-        dict(tables.counters), balancer.histograms_by_key, tuple(gauges)
-    )
-
-
 async def stop_gracefully(balancer: TokenBalancer, stopped: trio.Event) -> None:
     """Report unready at a signal, but forward packets while some arrive."""
     signal_received = trio.Event()
@@ -200,26 +162,6 @@
     )
 
 
-def start_evidence_tasks(
-    balancer: TokenBalancer, nursery: trio.Nursery
-) -> None:
-    """Start the tasks that watch how servers answer, and report bad ones."""
-    tracking = balancer.tables.answers
-    nursery.start_soon(check_answers_periodically, tracking, balancer.clock)
-    if not balancer.options.shares_evidence:
-        return
-    feed_client = balancer.feed_client
-    poster = EvidencePoster(
-        balancer.options.instance_id,
-        tracking,
-        lambda: feed_client.known_addresses,
-        balancer.clock,
-        feed_client.http_client,
-        balancer.tables.counters,
-    )
-    nursery.start_soon(post_evidence_periodically, poster)
-
-
 async def run_token_balancer(
     balancer: TokenBalancer, handlers: HandlersByPath, watch_settings: AsyncTask
 ) -> None:
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from mustardhold.tables.answer_tracking import AnswerTracking
+from mustardhold.tables.cold_limit import ColdLimits
 from mustardhold.tables.configurations import (
     Configuration,
     RequestKind,
@@ -76,6 +77,8 @@
     NO_TOKEN = 'no-token'
     UNKNOWN_TOKEN = 'unknown-token'
     FLOW_ENDED = 'flow-ended'
+    EVACUATED = 'evacuated'
+    COLD_LIMIT = 'cold-limit'
     LINK_QUEUE_FULL = 'link-queue-full'
     LINK_QUEUE_TIMEOUT = 'link-queue-timeout'
 
@@ -123,16 +126,19 @@
     Attributes
     ----------
     revisions
-        Revisions of the servers and of the silent ones in the directory that
-        the index was built from.
+        Revisions of the servers and of the silent ones in the directory, of the
+        evacuations and of the configuration, that the index was built from.
+    evacuated_services
+        Services whose ready servers are all in evacuated data centres.
     prepared_by_service
         Services that were asked for since then, prepared for ranking.
     """
 
-    revisions: tuple[int, int] = (-1, -1)
+    revisions: tuple[int, int, int, int] = (-1, -1, -1, -1)
     servers_by_service: dict[str, list[KnownServer]] = field(
         default_factory=dict
     )
+    evacuated_services: frozenset[str] = frozenset()
     prepared_by_service: dict[str, ServiceServers] = field(default_factory=dict)
 
 
@@ -221,6 +227,9 @@
         Whether suspect servers are avoided.
     answers
         How servers answer requests of routes with a target latency.
+    returned_at
+        When the weights of a data centre's servers began to rise after its
+        evacuation; ``NOT_STARTED`` before the first opening since its end.
     """
 
     data_centre: str = ''
@@ -248,4 +257,6 @@
     evacuations: EvacuationState = NO_EVACUATIONS
     heeds_suspicions: bool = True
     answers: AnswerTracking = field(default_factory=AnswerTracking)
+    returned_at: dict[str, float] = field(default_factory=dict)
+    cold_limits: ColdLimits = field(default_factory=ColdLimits)
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
