--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -29,6 +29,10 @@
     handle_order,
     show_evacuations,
 )
+from mustardhold.daemons.evidence_handlers import (
+    end_suspicions_periodically,
+    handle_evidence,
+)
 from mustardhold.daemons.feed_client import run_feed_client
 from mustardhold.daemons.feed_handlers import (
     handle_feed_poll,
@@ -49,6 +53,7 @@
 )
 from mustardhold.tables.evacuations import EVACUATIONS_PATH
 from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
+from mustardhold.tables.server_evidence import EVIDENCE_PATH
 
 
 class PublicHandlers(NamedTuple):
@@ -79,6 +84,9 @@
         ('GET', CONFIGURATION_PATH): functools.partial(
             show_configuration, control.node
         ),
+        ('POST', EVIDENCE_PATH): functools.partial(
+            handle_evidence, control.evidence_desk
+        ),
         ('POST', EVACUATIONS_PATH): functools.partial(
             handle_order, control.node
         ),
@@ -121,6 +129,7 @@
         functools.partial(wake_if_changed, control.feed),
     )
     nursery.start_soon(save_periodically, control.saver)
+    nursery.start_soon(end_suspicions_periodically, control.evidence_desk)
 
 
 async def run_registry_control(
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -16,6 +16,7 @@
     wait_saved,
 )
 from mustardhold.daemons.evacuation_handlers import log_evacuations
+from mustardhold.daemons.evidence_handlers import EvidenceDesk
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
     make_run_id,
@@ -59,6 +60,7 @@
     saver: DirectorySaver
     feed: FeedPublisher
     feed_client: FeedClient
+    evidence_desk: EvidenceDesk
 
 
 def make_control(
@@ -107,10 +109,23 @@
         lambda: node.replica.evacuations,
         node.error_reporter,
     )
+    evidence_desk = EvidenceDesk(
+        directory,
+        clock,
+        log,
+        node.replica.counters,
+        functools.partial(wake_if_changed, feed),
+    )
     node.on_applied = functools.partial(handle_applied, node, feed, saver)
     log_evacuations(node)
     return RegistryControl(
-        node, report_interval, directory, saver, feed, feed_client
+        node,
+        report_interval,
+        directory,
+        saver,
+        feed,
+        feed_client,
+        evidence_desk,
     )
 
 
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -12,6 +12,7 @@
     forget_servers_periodically,
 )
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
+from mustardhold.daemons.evidence_tasks import start_evidence_tasks
 from mustardhold.daemons.feed_client import run_feed_client
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
@@ -25,10 +26,11 @@
     WatcherIdentity,
 )
 from mustardhold.daemons.link_sending import LinkSender, run_link_sender
-from mustardhold.daemons.metrics_server import MetricsSnapshot, serve_metrics
+from mustardhold.daemons.metrics_server import serve_metrics
 from mustardhold.daemons.packet_loop import bind_socket, run_packet_loop
 from mustardhold.daemons.report_logs import log_report
 from mustardhold.daemons.signals import AsyncTask, stop_on_signal
+from mustardhold.daemons.token_metrics import collect_metrics
 from mustardhold.daemons.token_packets import (
     Codecs,
     TokenBalancer,
@@ -36,12 +38,10 @@
     send,
 )
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
-from mustardhold.systems.control_gauges import evacuation_gauge
 from mustardhold.systems.draining import Drain, is_drained
 from mustardhold.systems.fleet_count import count_followers
 from mustardhold.systems.link_queue import (
     is_empty,
-    make_link_gauges,
     make_link_queue,
 )
 from mustardhold.systems.liveness import forget_silent_servers
@@ -51,10 +51,8 @@
     FEED_WATCHERS_PER_BALANCER,
     WATCHED_CONTROLS,
 )
-from mustardhold.tables.directory import ServerState
 from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
 from mustardhold.tables.forwarding import ForwardingTables
-from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import TokenBalancerOptions
 
 
@@ -66,7 +64,9 @@
 ) -> TokenBalancer:
     """Open the socket for packets, and start with empty tables."""
     tables = ForwardingTables(
-        options.data_centre, opening_hedge_share=options.opening_hedge_share
+        options.data_centre,
+        opening_hedge_share=options.opening_hedge_share,
+        heeds_suspicions=options.shares_evidence,
     )
     tables.cold_limits.name = options.instance_id
     feed_client = FeedClient(
@@ -125,39 +125,6 @@
     return balancer
 
 
-def collect_metrics(balancer: TokenBalancer) -> MetricsSnapshot:
-    """Collect the balancer's counters, histograms and gauges of its tables."""
-    tables = balancer.tables
-    ready = sum(
-        known.report.state is ServerState.READY
-        for known in tables.directory.servers_by_id.values()
-    )
-    gauges = [
-        Gauge(
-            'configuration_version',
-            'Version in force',
-            configuration_version(tables),
-        ),
-        Gauge('ready_servers', 'Servers that may get new flows', ready),
-        Gauge(
-            'control_silence_seconds',
-            'Time since a current control instance told its state',
-            balancer.clock.monotonic() - tables.last_feed_at,
-        ),
-        evacuation_gauge(tables.evacuations),
-        Gauge(
-            'known_balancers',
-            'Balancers that share the limits of cold servers',
-            tables.cold_limits.balancers,
-        ),
-    ]
-    if balancer.link is not None:
-        gauges.extend(make_link_gauges(balancer.link.queue))
-    return MetricsSnapshot(
-        dict(tables.counters), balancer.histograms_by_key, tuple(gauges)
-    )
-
-
 async def stop_gracefully(balancer: TokenBalancer, stopped: trio.Event) -> None:
     """Report unready at a signal, but forward packets while some arrive."""
     signal_received = trio.Event()
@@ -229,6 +196,7 @@
         if balancer.link is not None:
             nursery.start_soon(run_link_sender, balancer.link)
         nursery.start_soon(run_feed_client, balancer.feed_client)
+        start_evidence_tasks(balancer, nursery)
         nursery.start_soon(
             forget_servers_periodically,
             balancer.tables.directory,
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -77,6 +77,9 @@
         Public addresses of some of the control instances.
     bootstrap
         Whether the whole system is being started for the first time.
+    shares_evidence
+        Whether balancers report servers that answer badly, and avoid suspect
+        ones.
     """
 
     ip_address: str
@@ -91,6 +94,7 @@
     fault_tolerance: FaultTolerance = FaultTolerance()
     bounds: Bounds = Bounds()
     limits: InstanceLimits = InstanceLimits()
+    shares_evidence: bool = True
     zones: object = None
 
 
@@ -182,4 +186,5 @@
         control_addresses(settings),
         timedelta(seconds=settings.bounds.grace_period_s),
         max(settings.limits.link_mbps, 0) * BYTES_PER_MEGABIT,
+        settings.shares_evidence,
     )
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -22,7 +22,7 @@
 from mustardhold.systems.directory import owns_token
 from mustardhold.systems.evacuation import evacuated_names, start_returns
 from mustardhold.systems.opening_hedges import ranks_of_attempt
-from mustardhold.systems.outlier_avoidance import is_avoided
+from mustardhold.systems.outlier_avoidance import avoided_tokens, is_avoided
 from mustardhold.systems.server_ranking import (
     HASH_RANGE,
     make_ranking,
@@ -134,8 +134,7 @@
     """Return the weight of the local servers that are avoided."""
     avoided = (
         tables.directory.servers_by_token.get(token)
-        for token, responsiveness in tables.responsiveness_by_token.items()
-        if now < responsiveness.avoid_until
+        for token in avoided_tokens(tables, now)
     )
     return sum(
         weigh_server(server, now, tables.returned_at).weight
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from mustardhold.tables.answer_tracking import AnswerTracking
 from mustardhold.tables.cold_limit import ColdLimits
 from mustardhold.tables.configurations import (
     Configuration,
@@ -222,6 +223,10 @@
         As of when the configuration in force is known to be the latest one.
     evacuations
         Data centres whose servers get no new flows.
+    heeds_suspicions
+        Whether suspect servers are avoided.
+    answers
+        How servers answer requests of routes with a target latency.
     returned_at
         When the weights of a data centre's servers began to rise after its
         evacuation; ``NOT_STARTED`` before the first opening since its end.
@@ -252,6 +257,8 @@
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
+    heeds_suspicions: bool = True
+    answers: AnswerTracking = field(default_factory=AnswerTracking)
     returned_at: dict[str, float] = field(default_factory=dict)
     cold_limits: ColdLimits = field(default_factory=ColdLimits)
     opening_hedge_share: float = 1
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -117,6 +117,9 @@
         they come.
     opening_hedge_share
         Share of the flows whose first opening goes to two servers at once.
+    shares_evidence
+        Whether the balancer reports servers that answer badly, and avoids those
+        that the whole fleet's reports make suspect.
     """
 
     instance_id: Name
@@ -129,3 +132,4 @@
     stop_grace: timedelta = STOP_GRACE
     link_bytes_per_second: float = 0
     opening_hedge_share: float = 1
+    shares_evidence: bool = True
