--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -27,7 +27,6 @@
     count_begun,
     recent_answers,
 )
-from mustardhold.systems.answer_tracking import track_service
 from mustardhold.systems.directory import merge_report
 from mustardhold.systems.opening_admission import (
     controlled_services,
@@ -115,7 +114,14 @@
         """Play everything."""
         self.rng = random.Random(self.seed)
         self.events, self.order = [], count()
-        self.tracked = [AnswerTracking() for _ in range(BALANCERS)]
+        self.tracked = [
+            AnswerTracking(
+                services_by_name={
+                    'service': ServiceAnswers('service', taken_at=0)
+                }
+            )
+            for _ in range(BALANCERS)
+        ]
         self.controls = [OverloadControl() for _ in range(BALANCERS)]
         self.busy = [0] * SERVERS
         self.queues = [deque() for _ in range(SERVERS)]
@@ -167,7 +173,7 @@
             self.retry(now + 0.006, asked_at, kind, caller, number)
             return
         server = self.rng.randrange(SERVERS)
-        counts = track_service(self.tracked[index], 'service')
+        counts = self.tracked[index].services_by_name['service']
         one = Try(asked_at, caller, kind, number, now, server, counts)
         if self.has_figures:
             count_begun(counts, now, server)
