Make the state of admission control where the balancer is wired

The state now comes from the module that uses it. Behaviour is unchanged; the tests of the touched modules pass.

--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -43,7 +43,10 @@
     make_link_queue,
 )
 from mustardhold.systems.liveness import forget_silent_servers
-from mustardhold.systems.opening_admission import make_admission_gauges
+from mustardhold.systems.opening_admission import (
+    make_admission_gauges,
+    make_overload_control,
+)
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.constants import (
     DRAIN_CHECK_INTERVAL,
@@ -55,7 +58,6 @@
 from mustardhold.tables.forwarding import ForwardingTables
 from mustardhold.tables.gauges import Gauge
 from mustardhold.tables.options import TokenBalancerOptions
-from mustardhold.tables.overload import OverloadControl
 
 
 def make_token_balancer(
@@ -66,8 +68,6 @@
 ) -> TokenBalancer:
     """Open the socket for packets, and start with empty tables."""
     tables = ForwardingTables(options.data_centre)
-    if options.controls_admission:
-        tables.overload = OverloadControl()
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id,
@@ -109,6 +109,7 @@
         feed,
         ErrorReporter(log, tables.counters),
     )
+    tables.overload = make_overload_control(options)
     queue = make_link_queue(options.link_bytes_per_second, tables)
     if queue is not None:
         balancer.link = LinkSender(
--- a/src/mustardhold/systems/opening_admission.py
+++ b/src/mustardhold/systems/opening_admission.py
@@ -18,6 +18,7 @@
 )
 from mustardhold.tables.forwarding import CallerPacket, ForwardingTables
 from mustardhold.tables.gauges import Gauge
+from mustardhold.tables.options import TokenBalancerOptions
 from mustardhold.tables.overload import (
     Opening,
     OpeningClass,
@@ -25,6 +26,13 @@
 )
 
 
+def make_overload_control(
+    options: TokenBalancerOptions,
+) -> OverloadControl | None:
+    """Make the state of admission control; None if it is turned off."""
+    return OverloadControl() if options.controls_admission else None
+
+
 def is_opening_refused(
     tables: ForwardingTables,
     now: float,
