--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -45,6 +45,9 @@
     make_link_queue,
 )
 from mustardhold.systems.liveness import forget_silent_servers
+from mustardhold.systems.opening_admission import (
+    make_overload_control,
+)
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.constants import (
     DRAIN_CHECK_INTERVAL,
@@ -114,6 +117,7 @@
         feed,
         ErrorReporter(log, tables.counters),
     )
+    tables.overload = make_overload_control(options)
     queue = make_link_queue(options.link_bytes_per_second, tables)
     if queue is not None:
         balancer.link = LinkSender(
--- a/src/mustardhold/daemons/token_metrics.py
+++ b/src/mustardhold/daemons/token_metrics.py
@@ -4,6 +4,7 @@
 from mustardhold.daemons.token_packets import TokenBalancer
 from mustardhold.systems.control_gauges import evacuation_gauge
 from mustardhold.systems.link_queue import make_link_gauges
+from mustardhold.systems.opening_admission import make_admission_gauges
 from mustardhold.systems.suspicions import suspect_tokens
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.directory import ServerState
@@ -46,6 +47,7 @@
             tables.cold_limits.balancers,
         ),
     ]
+    gauges.extend(make_admission_gauges(tables))
     if balancer.link is not None:
         gauges.extend(make_link_gauges(balancer.link.queue))
     return MetricsSnapshot(
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -20,6 +20,7 @@
 from mustardhold.tables.constants import MAX_RECENT_OPENINGS
 from mustardhold.tables.directory import Directory, KnownServer
 from mustardhold.tables.evacuations import NO_EVACUATIONS, EvacuationState
+from mustardhold.tables.overload import OverloadControl
 from mustardhold.tables.server_ranking import ServiceServers
 
 # Service port, caller port, service IP, caller IP.
@@ -79,6 +80,7 @@
     FLOW_ENDED = 'flow-ended'
     EVACUATED = 'evacuated'
     COLD_LIMIT = 'cold-limit'
+    OVERLOADED = 'overloaded'
     LINK_QUEUE_FULL = 'link-queue-full'
     LINK_QUEUE_TIMEOUT = 'link-queue-timeout'
 
@@ -225,6 +227,8 @@
         Data centres whose servers get no new flows.
     heeds_suspicions
         Whether suspect servers are avoided.
+    overload
+        Admission control; None if it is turned off.
     answers
         How servers answer requests of routes with a target latency.
     returned_at
@@ -258,6 +262,7 @@
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
     heeds_suspicions: bool = True
+    overload: OverloadControl | None = None
     answers: AnswerTracking = field(default_factory=AnswerTracking)
     returned_at: dict[str, float] = field(default_factory=dict)
     cold_limits: ColdLimits = field(default_factory=ColdLimits)
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -120,6 +120,8 @@
     shares_evidence
         Whether the balancer reports servers that answer badly, and avoids those
         that the whole fleet's reports make suspect.
+    controls_admission
+        Whether openings are refused while a service is overloaded.
     """
 
     instance_id: Name
@@ -133,3 +135,4 @@
     link_bytes_per_second: float = 0
     opening_hedge_share: float = 1
     shares_evidence: bool = True
+    controls_admission: bool = True
