--- a/src/mustardhold/systems/evidence_window.py
+++ b/src/mustardhold/systems/evidence_window.py
@@ -146,7 +146,8 @@
     known.short += evidence.short
     known.good += evidence.good
     if evidence.bad:
-        known.bad_by_reporter[reporter] += evidence.bad
+        known.late_by_reporter[reporter] += evidence.late
+        known.short_by_reporter[reporter] += evidence.short
         known.first_bad_at = min(known.first_bad_at, now)
         known.last_bad_at = now
 
@@ -173,7 +174,8 @@
             total.late += one.late
             total.short += one.short
             total.good += one.good
-            total.bad_by_reporter.update(one.bad_by_reporter)
+            total.late_by_reporter.update(one.late_by_reporter)
+            total.short_by_reporter.update(one.short_by_reporter)
             total.first_bad_at = min(total.first_bad_at, one.first_bad_at)
             total.last_bad_at = max(total.last_bad_at, one.last_bad_at)
     return sums
--- a/src/mustardhold/systems/server_evidence.py
+++ b/src/mustardhold/systems/server_evidence.py
@@ -5,9 +5,11 @@
 is cut off from servers must not make any suspect by itself.
 """
 
-from collections.abc import Iterable, Iterator, Sequence, Set
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence, Set
 from itertools import accumulate
-from typing import NamedTuple
+from operator import attrgetter
+from typing import Final, NamedTuple
 
 from mustardhold.systems.evidence_window import sum_load, sum_window
 from mustardhold.systems.suspicions import is_suspect, suspect_until
@@ -27,9 +29,6 @@
 # When the load grows beyond the capacity, the answers of some servers are late
 # a little before those of the others.
 MIN_BAD_SECONDS = 0.5
-# If so many answers of the other servers are bad too, the service has no
-# capacity to spare: fewer servers would make more answers late.
-MAX_OTHER_BAD_SHARE = 0.05
 # Slow servers are 4 to 8 times slower, failing ones fail up to 40 % of
 # requests; the others fail far less than a quarter of that.
 MIN_RATIO = 4.0
@@ -44,13 +43,45 @@
 INDEX_LIFETIME_SECONDS = 1.0
 
 
+class BadKind(NamedTuple):
+    """A way in which answers are bad.
+
+    Late and short answers are judged apart: while the flows of many servers
+    look late, servers that fail at once still stand out.
+
+    Attributes
+    ----------
+    by_reporter
+        Returns the bad answers of a server by balancer.
+    max_other_share
+        Up to this share of bad answers of the other servers, the cause is
+        sought in the servers.
+    may_be_load
+        Whether a growing load makes answers bad in this way.
+    """
+
+    by_reporter: Callable[[EvidenceSum], Counter[str]]
+    max_other_share: float
+    may_be_load: bool
+
+
+# When the fabric moves most flows to other balancers, their requests look late
+# at the earlier ones, whichever servers they are at.
+LATE: Final = BadKind(
+    attrgetter('late_by_reporter'), max_other_share=0.2, may_be_load=True
+)
+SHORT: Final = BadKind(
+    attrgetter('short_by_reporter'), max_other_share=0.05, may_be_load=False
+)
+
+
 class Candidate(NamedTuple):
-    """A server with its evidence.
+    """A server with its evidence of one kind.
 
     Attributes
     ----------
     bad
-        Late and short answers. The balancer that saw most of them counts for
+        Bad answers of the kind. The balancer that saw most of them counts for
         at most as many as all others together.
     load
         Share of the service's work, by weight or by answers seen, whichever is
@@ -71,11 +102,11 @@
         return self.bad / self.load
 
 
-class Split(NamedTuple):
-    """The worst servers of a service, and how often the others are bad."""
+class Outlier(NamedTuple):
+    """A server that stands out, and the bad answers expected of it."""
 
-    worst: Sequence[Candidate]
-    other_rate: float
+    candidate: Candidate
+    expected: float
 
 
 def judge_service(
@@ -100,19 +131,42 @@
         if not is_suspect(directory.suspicions, now, server.token)
     ]
     lately = suspect_lately(collector, now)
-    split = find_split(make_candidates(service, now, trusted, lately))
+    outliers = find_outliers(trusted, sum_window(service, now), lately)
+    # Each request in progress occupies a slot.
+    idle = count_slots(ready) - sum_load(service, now)
+    return [
+        suspect(collector, directory, now, service, outlier)
+        for outlier in limit_outliers(outliers, ready, trusted, idle)
+    ]
+
+
+def limit_outliers(
+    outliers: Sequence[Outlier],
+    ready: Sequence[KnownServer],
+    trusted: Sequence[KnownServer],
+    idle: float,
+) -> list[Outlier]:
+    """Return the outliers that the service can do without, the worst first.
+
+    Parameters
+    ----------
+    trusted
+        Those of the ready servers that are not suspect already.
+    idle
+        Number of slots without a request.
+    """
     total = count_slots(ready)
     allowed = total * MAX_SUSPECT_SHARE
-    if count_slots(one.server for one in split.worst) > allowed:
+    slots = list(
+        accumulate(one.candidate.server.report.slots for one in outliers)
+    )
+    if slots and slots[-1] > allowed:
         return []
-    # Each request in progress occupies a slot.
-    allowed = min(allowed, total - sum_load(service, now))
-    allowed -= total - count_slots(trusted)
-    slots = accumulate(one.server.report.slots for one in split.worst)
+    left = min(allowed, idle) - (total - count_slots(trusted))
     return [
-        suspect(collector, directory, now, (service, candidate, split))
-        for candidate, used in zip(split.worst, slots, strict=True)
-        if used <= allowed
+        outlier
+        for outlier, used in zip(outliers, slots, strict=True)
+        if used <= left
     ]
 
 
@@ -155,14 +209,31 @@
     }
 
 
+def find_outliers(
+    servers: Sequence[KnownServer],
+    sums: Mapping[int, EvidenceSum],
+    lately: Set[int],
+) -> list[Outlier]:
+    """Return the servers that stand out in either way, the worst first."""
+    outliers_by_token: dict[int, Outlier] = {}
+    for kind in (SHORT, LATE):
+        candidates = make_candidates(servers, sums, lately, kind)
+        for one in find_outliers_of_kind(candidates, kind):
+            outliers_by_token.setdefault(one.candidate.server.token, one)
+    return sorted(
+        outliers_by_token.values(),
+        key=lambda one: one.candidate.rate,
+        reverse=True,
+    )
+
+
 def make_candidates(
-    service: ServiceEvidence,
-    now: float,
     servers: Sequence[KnownServer],
-    known: Set[int],
+    sums: Mapping[int, EvidenceSum],
+    lately: Set[int],
+    kind: BadKind,
 ) -> list[Candidate]:
-    """Return servers with their evidence, the worst first."""
-    sums = sum_window(service, now)
+    """Return servers with their evidence of a kind, the worst first."""
     nothing = EvidenceSum()
     evidence = [sums.get(server.token, nothing) for server in servers]
     weight = count_slots(servers)
@@ -171,12 +242,12 @@
         Candidate(
             server,
             one,
-            count_bad(one),
+            count_bad(kind.by_reporter(one)),
             max(
                 server.report.slots / weight,
                 count_answers(one) / max(answers, 1),
             ),
-            server.token in known,
+            server.token in lately,
         )
         for server, one in zip(servers, evidence, strict=True)
     ]
@@ -189,17 +260,18 @@
     return evidence.late + evidence.short + evidence.good
 
 
-def count_bad(evidence: EvidenceSum) -> int:
+def count_bad(answers_by_reporter: Counter[str]) -> int:
     """Return the bad answers of a server, with a limit for each reporter."""
-    reporters = evidence.bad_by_reporter
-    if len(reporters) < MIN_REPORTERS:
+    counts = [count for count in answers_by_reporter.values() if count]
+    if len(counts) < MIN_REPORTERS:
         return 0
-    total = reporters.total()
-    others = total - max(reporters.values())
-    return min(total, 2 * others)
+    others = sum(counts) - max(counts)
+    return min(sum(counts), 2 * others)
 
 
-def find_split(candidates: Sequence[Candidate]) -> Split:
+def find_outliers_of_kind(
+    candidates: Sequence[Candidate], kind: BadKind
+) -> list[Outlier]:
     """Find the most servers that all stand out from all others.
 
     The reference is those that do not stand out, since several bad servers
@@ -215,44 +287,45 @@
     worst = sum(one.bad >= MIN_BAD for one in candidates)
     for count in range(min(worst, len(candidates) - 1), 0, -1):
         other_bad = bad[-1] - bad[count]
-        if other_bad > (seen[-1] - seen[count]) * MAX_OTHER_BAD_SHARE:
+        if other_bad > (seen[-1] - seen[count]) * kind.max_other_share:
             continue
         other_rate = other_bad / (load[-1] - load[count])
-        if all(stands_out(one, other_rate) for one in candidates[:count]):
-            return Split(candidates[:count], other_rate)
-    return Split((), 0)
+        outliers = [
+            Outlier(one, other_rate * one.load) for one in candidates[:count]
+        ]
+        if all(stands_out(one, kind) for one in outliers):
+            return outliers
+    return []
 
 
-def stands_out(candidate: Candidate, other_rate: float) -> bool:
-    """Return whether a server is bad more often than chance explains."""
-    expected = other_rate * candidate.load
-    is_sudden = not candidate.is_known and is_sudden_lateness(
-        candidate.evidence
-    )
-    return not is_sudden and candidate.bad >= MIN_BAD + MIN_RATIO * expected
-
+def stands_out(outlier: Outlier, kind: BadKind) -> bool:
+    """Return whether a server is bad more often than chance explains.
 
-def is_sudden_lateness(evidence: EvidenceSum) -> bool:
-    """Return whether a server may just be the first to feel a growing load.
-
-    Answers that are too short are not explained by load.
+    A server that was not suspect lately may just be the first to feel a growing
+    load.
     """
-    lasted = evidence.last_bad_at - evidence.first_bad_at
-    return evidence.late >= evidence.short and lasted < MIN_BAD_SECONDS
+    candidate = outlier.candidate
+    if kind.may_be_load and not candidate.is_known:
+        evidence = candidate.evidence
+        lasted = evidence.last_bad_at - evidence.first_bad_at
+        if lasted < MIN_BAD_SECONDS:
+            return False
+    return candidate.bad >= MIN_BAD + MIN_RATIO * outlier.expected
 
 
 def suspect(
     collector: EvidenceCollector,
     directory: Directory,
     now: float,
-    grounds: tuple[ServiceEvidence, Candidate, Split],
+    service: ServiceEvidence,
+    outlier: Outlier,
 ) -> Judgement:
     """Suspect a server, longer if it was suspect shortly before.
 
     Its evidence is dropped, so that only news makes it suspect again.
     """
-    service, candidate, split = grounds
-    token, evidence = candidate.server.token, candidate.evidence
+    evidence = outlier.candidate.evidence
+    token = outlier.candidate.server.token
     previous = collector.terms_by_token.get(token)
     is_renewal = (
         previous is not None and now < previous.until + RECURRENCE_SECONDS
@@ -270,8 +343,8 @@
         evidence.late,
         evidence.short,
         evidence.good,
-        len(evidence.bad_by_reporter),
-        split.other_rate * candidate.load,
+        len(evidence.late_by_reporter),
+        outlier.expected,
         seconds,
         age,
         is_renewal,
--- a/src/mustardhold/tables/server_evidence.py
+++ b/src/mustardhold/tables/server_evidence.py
@@ -78,7 +78,7 @@
 
     Attributes
     ----------
-    bad_by_reporter
+    late_by_reporter, short_by_reporter
         Late and short answers by balancer.
     first_bad_at, last_bad_at
         When posts first and last named a bad answer; local clock, in seconds.
@@ -87,7 +87,8 @@
     late: int = 0
     short: int = 0
     good: int = 0
-    bad_by_reporter: Counter[str] = field(default_factory=Counter)
+    late_by_reporter: Counter[str] = field(default_factory=Counter)
+    short_by_reporter: Counter[str] = field(default_factory=Counter)
     first_bad_at: float = float('inf')
     last_bad_at: float = float('-inf')
 
--- a/tests/test_server_evidence.py
+++ b/tests/test_server_evidence.py
@@ -92,6 +92,19 @@
     return judge_service(collector, directory, now, SERVICE)
 
 
+@pytest.mark.parametrize('late', [0, 1])
+def test_late_flows_everywhere_hide_servers_that_fail(late):
+    """Most flows have just moved to other balancers, which makes them late."""
+    collector, directory, tokens = collector_of()
+    for reporter in ('b-1', 'b-2'):
+        evidence = [ServerEvidence(token, late, 0, 3) for token in tokens]
+        evidence[0] = ServerEvidence(tokens[0], late, 4, 0)
+        post = one_post(tokens[0], reporter, servers=evidence)
+        add_evidence(collector, directory, 1, post)
+    judged = judge_service(collector, directory, 1, SERVICE)
+    assert [one.token for one in judged] == tokens[:1]
+
+
 @pytest.mark.parametrize(
     ('changes', 'verdict'),
     [
