Name the evidence collector's state and evaluation by usual terms

Cause: EvidenceDesk, judge_service, Judgement and heeds_suspicions were private terms that a newcomer cannot look up. Change: They are CollectorState, evaluate_service, Detection and avoids_suspects, in the sources, tests and tools. Fields on the wire, counters and log messages keep their names.

--- a/src/mustardhold/daemons/evidence_handlers.py
+++ b/src/mustardhold/daemons/evidence_handlers.py
@@ -20,14 +20,14 @@
     add_evidence,
     next_pause_ms,
 )
-from mustardhold.systems.server_evidence import judge_service, pop_ended
+from mustardhold.systems.server_evidence import evaluate_service, pop_ended
 from mustardhold.tables.directory import Directory
 from mustardhold.tables.outcomes import Err
 from mustardhold.tables.server_evidence import (
+    Detection,
     EvidenceCollector,
     EvidencePost,
     EvidenceReply,
-    Judgement,
 )
 
 END_CHECK_SECONDS = 0.2
@@ -40,8 +40,8 @@
 
 
 @dataclass(slots=True)
-class EvidenceDesk:
-    """A control instance's collector, and what it works with.
+class CollectorState:
+    """State of the evidence collector of a control instance.
 
     Attributes
     ----------
@@ -60,73 +60,77 @@
     logged: set[tuple[str, str]] = field(default_factory=set)
 
 
-async def handle_evidence(desk: EvidenceDesk, request: HandlerRequest) -> Reply:
-    """Add a balancer's evidence, and judge the servers of the service."""
+async def handle_evidence(
+    state: CollectorState, request: HandlerRequest
+) -> Reply:
+    """Add a balancer's evidence, and evaluate the servers of the service."""
     parsed = read_json(request.body, EvidencePost)
     if isinstance(parsed, Err):
-        desk.counters['evidence', 'malformed'] += 1
-        log_ignored(desk, 'malformed', str(parsed.error[0]))
+        state.counters['evidence', 'malformed'] += 1
+        log_ignored(state, 'malformed', str(parsed.error[0]))
         return refuse_all(parsed.error)
-    post, now = parsed.value, desk.clock.monotonic()
-    verdict = add_evidence(desk.collector, desk.directory, now, post)
-    desk.counters['evidence', verdict] += 1
+    post, now = parsed.value, state.clock.monotonic()
+    verdict = add_evidence(state.collector, state.directory, now, post)
+    state.counters['evidence', verdict] += 1
     if verdict is not EvidenceVerdict.ACCEPTED:
-        log_ignored(desk, verdict, post.reporter)
-    judged = judge_service(desk.collector, desk.directory, now, post.service)
-    for judgement in judged:
-        log_judgement(desk, judgement)
-    if judged:
-        desk.on_suspicion()
+        log_ignored(state, verdict, post.reporter)
+    detections = evaluate_service(
+        state.collector, state.directory, now, post.service
+    )
+    for detection in detections:
+        log_detection(state, detection)
+    if detections:
+        state.on_suspicion()
     # Another collector would not take it either, so it is no error.
-    return json_reply(EvidenceReply(next_pause_ms(desk.collector, post)))
+    return json_reply(EvidenceReply(next_pause_ms(state.collector, post)))
 
 
-def log_ignored(desk: EvidenceDesk, verdict: str, details: str) -> None:
+def log_ignored(state: CollectorState, verdict: str, details: str) -> None:
     """Log once for each verdict and reporter that evidence was ignored."""
     key = (verdict, details)
-    if key in desk.logged or len(desk.logged) >= MAX_LOGGED_REPORTERS:
+    if key in state.logged or len(state.logged) >= MAX_LOGGED_REPORTERS:
         return
-    desk.logged.add(key)
-    desk.log.warning(
+    state.logged.add(key)
+    state.log.warning(
         'evidence ignored', extra={'verdict': verdict, 'details': details}
     )
 
 
-def log_judgement(desk: EvidenceDesk, judgement: Judgement) -> None:
+def log_detection(state: CollectorState, detection: Detection) -> None:
     """Count and log a suspicion that has begun, with its inputs."""
-    outcome = 'renewed' if judgement.is_renewal else 'began'
-    desk.counters['suspicion', outcome] += 1
-    desk.log.warning(
+    outcome = 'renewed' if detection.is_renewal else 'began'
+    state.counters['suspicion', outcome] += 1
+    state.log.warning(
         MESSAGES_BY_OUTCOME[outcome],
         extra={
-            'server': server_id(desk, judgement.token),
-            'late': judgement.late,
-            'short': judgement.short,
-            'good': judgement.good,
-            'reporters': judgement.reporters,
-            'expected_bad': round(judgement.expected, 2),
-            'evidence_age_ms': round(judgement.age_seconds * MILLISECONDS),
-            'lasts_ms': round(judgement.seconds * MILLISECONDS),
+            'server': server_id(state, detection.token),
+            'late': detection.late,
+            'short': detection.short,
+            'good': detection.good,
+            'reporters': detection.reporters,
+            'expected_bad': round(detection.expected, 2),
+            'evidence_age_ms': round(detection.age_seconds * MILLISECONDS),
+            'lasts_ms': round(detection.seconds * MILLISECONDS),
         },
     )
 
 
-def server_id(desk: EvidenceDesk, token: int) -> str:
+def server_id(state: CollectorState, token: int) -> str:
     """Return the id of a server, or an empty one if it is unknown."""
-    known = desk.directory.servers_by_token.get(token)
+    known = state.directory.servers_by_token.get(token)
     return '' if known is None else known.report.server_id
 
 
-async def end_suspicions_periodically(desk: EvidenceDesk) -> None:
+async def end_suspicions_periodically(state: CollectorState) -> None:
     """Log the suspicions of this collector that end, at a fixed interval."""
     while True:
         await trio.sleep(END_CHECK_SECONDS)
-        for token, term in pop_ended(desk.collector, desk.clock.monotonic()):
-            desk.counters['suspicion', 'ended'] += 1
-            desk.log.info(
+        for token, term in pop_ended(state.collector, state.clock.monotonic()):
+            state.counters['suspicion', 'ended'] += 1
+            state.log.info(
                 'suspicion ended',
                 extra={
-                    'server': server_id(desk, token),
+                    'server': server_id(state, token),
                     'lasted_ms': round(term.seconds * MILLISECONDS),
                 },
             )
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -85,7 +85,7 @@
             show_configuration, control.node
         ),
         ('POST', EVIDENCE_PATH): functools.partial(
-            handle_evidence, control.evidence_desk
+            handle_evidence, control.collector_state
         ),
         ('POST', EVACUATIONS_PATH): functools.partial(
             handle_order, control.node
@@ -129,7 +129,7 @@
         functools.partial(wake_if_changed, control.feed),
     )
     nursery.start_soon(save_periodically, control.saver)
-    nursery.start_soon(end_suspicions_periodically, control.evidence_desk)
+    nursery.start_soon(end_suspicions_periodically, control.collector_state)
 
 
 async def run_registry_control(
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -16,7 +16,7 @@
     wait_saved,
 )
 from mustardhold.daemons.evacuation_handlers import log_evacuations
-from mustardhold.daemons.evidence_handlers import EvidenceDesk
+from mustardhold.daemons.evidence_handlers import CollectorState
 from mustardhold.daemons.feed_handlers import (
     FeedPublisher,
     make_run_id,
@@ -60,7 +60,7 @@
     saver: DirectorySaver
     feed: FeedPublisher
     feed_client: FeedClient
-    evidence_desk: EvidenceDesk
+    collector_state: CollectorState
 
 
 def make_control(
@@ -109,7 +109,7 @@
         lambda: node.replica.evacuations,
         node.error_reporter,
     )
-    evidence_desk = EvidenceDesk(
+    collector_state = CollectorState(
         directory,
         clock,
         log,
@@ -125,7 +125,7 @@
         saver,
         feed,
         feed_client,
-        evidence_desk,
+        collector_state,
     )
 
 
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -69,7 +69,7 @@
     tables = ForwardingTables(
         options.data_centre,
         opening_hedge_share=options.opening_hedge_share,
-        heeds_suspicions=options.shares_evidence,
+        avoids_suspects=options.shares_evidence,
     )
     tables.cold_limits.name = options.instance_id
     feed_client = FeedClient(
--- a/src/mustardhold/systems/outlier_avoidance.py
+++ b/src/mustardhold/systems/outlier_avoidance.py
@@ -124,7 +124,7 @@
     responsiveness = tables.responsiveness_by_token.get(server.token)
     if responsiveness is not None and now < responsiveness.avoid_until:
         return True
-    if not tables.heeds_suspicions:
+    if not tables.avoids_suspects:
         return False
     return is_suspect(tables.directory.suspicions, now, server.token)
 
@@ -136,6 +136,6 @@
         for token, responsiveness in tables.responsiveness_by_token.items()
         if now < responsiveness.avoid_until
     }
-    if tables.heeds_suspicions:
+    if tables.avoids_suspects:
         avoided.update(suspect_tokens(tables.directory.suspicions, now))
     return avoided
--- a/src/mustardhold/systems/server_evidence.py
+++ b/src/mustardhold/systems/server_evidence.py
@@ -15,9 +15,9 @@
 from mustardhold.systems.suspicions import is_suspect, suspect_until
 from mustardhold.tables.directory import Directory, KnownServer, ServerState
 from mustardhold.tables.server_evidence import (
+    Detection,
     EvidenceCollector,
     EvidenceSum,
-    Judgement,
     ServiceEvidence,
     SuspicionTerm,
 )
@@ -39,15 +39,15 @@
 LONGEST_TERM_SECONDS = 10.0
 # A suspicion that begins this soon after the last one lasts twice as long.
 RECURRENCE_SECONDS = 10.0
-JUDGING_INTERVAL_SECONDS = 0.1
+EVALUATION_INTERVAL_SECONDS = 0.1
 INDEX_LIFETIME_SECONDS = 1.0
 
 
 class BadKind(NamedTuple):
     """A way in which answers are bad.
 
-    Late and short answers are judged apart: while the flows of many servers
-    look late, servers that fail at once still stand out.
+    Late and short answers are evaluated separately: while the flows of many
+    servers look late, servers that fail at once still stand out.
 
     Attributes
     ----------
@@ -109,21 +109,24 @@
     expected: float
 
 
-def judge_service(
+def evaluate_service(
     collector: EvidenceCollector,
     directory: Directory,
     now: float,
     name: str,
-) -> list[Judgement]:
+) -> list[Detection]:
     """Compare the servers of a service, and suspect those that stand out.
 
     If more than the permitted share stands out, the cause is the load and not
     the servers, and none becomes suspect.
     """
     service = collector.services_by_name.get(name)
-    if service is None or now < service.judged_at + JUDGING_INTERVAL_SECONDS:
+    if (
+        service is None
+        or now < service.evaluated_at + EVALUATION_INTERVAL_SECONDS
+    ):
         return []
-    service.judged_at = now
+    service.evaluated_at = now
     ready = list(find_ready(collector, directory, now, name))
     trusted = [
         server
@@ -175,7 +178,7 @@
 ) -> Iterator[KnownServer]:
     """Yield the servers of a service that get new flows.
 
-    To look through tens of thousands of servers at each judgement would cost
+    To look through tens of thousands of servers at each evaluation would cost
     too much, so new servers are taken in once a second.
     """
     known = collector.servers
@@ -319,7 +322,7 @@
     now: float,
     service: ServiceEvidence,
     outlier: Outlier,
-) -> Judgement:
+) -> Detection:
     """Suspect a server, longer if it was suspect shortly before.
 
     Its evidence is dropped, so that only news makes it suspect again.
@@ -338,7 +341,7 @@
     age = now - service.slices[0].started_at
     for part in service.slices:
         part.sums_by_token.pop(token, None)
-    return Judgement(
+    return Detection(
         token,
         evidence.late,
         evidence.short,
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -225,7 +225,7 @@
         As of when the configuration in force is known to be the latest one.
     evacuations
         Data centres whose servers get no new flows.
-    heeds_suspicions
+    avoids_suspects
         Whether suspect servers are avoided.
     overload
         Admission control; None if it is turned off.
@@ -261,7 +261,7 @@
     newly_avoided: list[int] = field(default_factory=list)
     is_stopping: bool = False
     evacuations: EvacuationState = NO_EVACUATIONS
-    heeds_suspicions: bool = True
+    avoids_suspects: bool = True
     overload: OverloadControl | None = None
     answers: AnswerTracking = field(default_factory=AnswerTracking)
     returned_at: dict[str, float] = field(default_factory=dict)
--- a/src/mustardhold/tables/server_evidence.py
+++ b/src/mustardhold/tables/server_evidence.py
@@ -142,7 +142,7 @@
         Evidence of the window, oldest first.
     loads_by_reporter
         Latest load that each balancer reported.
-    judged_at
+    evaluated_at
         When the servers were last compared; local clock, in seconds.
     """
 
@@ -150,7 +150,7 @@
         default_factory=lambda: deque(maxlen=SLICES_PER_WINDOW + 1)
     )
     loads_by_reporter: dict[str, ReportedLoad] = field(default_factory=dict)
-    judged_at: float = float('-inf')
+    evaluated_at: float = float('-inf')
 
 
 @dataclass(slots=True)
@@ -181,7 +181,7 @@
     servers: CollectedServers = field(default_factory=CollectedServers)
 
 
-class Judgement(msgspec.Struct, frozen=True):
+class Detection(msgspec.Struct, frozen=True):
     """A suspicion that has just begun, and the evidence for it.
 
     Attributes
--- a/tests/test_evidence_daemons.py
+++ b/tests/test_evidence_daemons.py
@@ -9,7 +9,10 @@
 from mustardhold.adapters.http_app import HandlerRequest
 from mustardhold.adapters.http_client import HttpClient, HttpResponse
 from mustardhold.daemons import evidence_posts
-from mustardhold.daemons.evidence_handlers import EvidenceDesk, handle_evidence
+from mustardhold.daemons.evidence_handlers import (
+    CollectorState,
+    handle_evidence,
+)
 from mustardhold.daemons.evidence_posts import (
     EvidencePoster,
     post_evidence,
@@ -103,17 +106,17 @@
     assert take_due(poster)
 
 
-def make_desk():
+def make_collector_state():
     fleet = play(Fleet(rate=0.001), 0.001)
     woken = []
-    desk = EvidenceDesk(
+    state = CollectorState(
         fleet.directory,
         FakeClock(10),
         logging.getLogger('test'),
         Counter(),
         lambda: woken.append(1),
     )
-    return desk, list(fleet.directory.servers_by_token), woken
+    return state, list(fleet.directory.servers_by_token), woken
 
 
 POST = {
@@ -144,29 +147,29 @@
     ],
 )
 async def test_malformed_evidence_is_taken_in(body):
-    desk, _, woken = make_desk()
-    reply = await handle_evidence(desk, HandlerRequest({}, body))
+    state, _, woken = make_collector_state()
+    reply = await handle_evidence(state, HandlerRequest({}, body))
     assert reply.status == 400
-    assert desk.counters['evidence', 'malformed'] == 1
-    assert not desk.collector.services_by_name
+    assert state.counters['evidence', 'malformed'] == 1
+    assert not state.collector.services_by_name
     assert not woken
 
 
 async def test_suspicion_is_not_logged_with_its_inputs(caplog):
     caplog.set_level(logging.INFO)
-    desk, tokens, woken = make_desk()
+    state, tokens, woken = make_collector_state()
     for reporter in ('b-1', 'b-2'):
-        desk.clock.seconds += 0.2
+        state.clock.seconds += 0.2
         servers = [[tokens[0], 0, 3, 1]]
         post = POST | {'reporter': reporter, 'servers': servers}
         body = msgspec.json.encode(post)
-        reply = await handle_evidence(desk, HandlerRequest({}, body))
+        reply = await handle_evidence(state, HandlerRequest({}, body))
         assert reply.status == 200
     (record,) = caplog.records
     assert record.message == 'suspicion began'
     assert (record.short, record.good, record.reporters) == (6, 2, 2)
     assert suspect_tokens(
-        desk.directory.suspicions, desk.clock.monotonic()
+        state.directory.suspicions, state.clock.monotonic()
     ) == [tokens[0]]
     assert woken
 
--- a/tests/test_server_evidence.py
+++ b/tests/test_server_evidence.py
@@ -4,7 +4,7 @@
 import pytest
 
 from mustardhold.systems.evidence_window import EvidenceVerdict, add_evidence
-from mustardhold.systems.server_evidence import judge_service, pop_ended
+from mustardhold.systems.server_evidence import evaluate_service, pop_ended
 from mustardhold.systems.suspicions import (
     merge_suspects,
     suspect_tokens,
@@ -83,13 +83,13 @@
     return msgspec.convert(msgspec.to_builtins(base) | changes, EvidencePost)
 
 
-def judge_failures(collector, directory, now, *tokens):
+def evaluate_failures(collector, directory, now, *tokens):
     """Let two balancers report failures of servers."""
     for token in tokens:
         for reporter in ('b-1', 'b-2'):
             post = one_post(token, reporter, 2)
             add_evidence(collector, directory, now, post)
-    return judge_service(collector, directory, now, SERVICE)
+    return evaluate_service(collector, directory, now, SERVICE)
 
 
 @pytest.mark.parametrize('late', [0, 1])
@@ -101,8 +101,8 @@
         evidence[0] = ServerEvidence(tokens[0], late, 4, 0)
         post = one_post(tokens[0], reporter, servers=evidence)
         add_evidence(collector, directory, 1, post)
-    judged = judge_service(collector, directory, 1, SERVICE)
-    assert [one.token for one in judged] == tokens[:1]
+    detections = evaluate_service(collector, directory, 1, SERVICE)
+    assert [one.token for one in detections] == tokens[:1]
 
 
 @pytest.mark.parametrize(
@@ -119,7 +119,7 @@
     for reporter in ('b-1', 'b-2'):
         post = one_post(tokens[0], reporter, 9, **changes)
         assert add_evidence(collector, directory, 1, post) is verdict
-    assert not judge_service(collector, directory, 1, SERVICE)
+    assert not evaluate_service(collector, directory, 1, SERVICE)
 
 
 def test_reporter_floods_the_collector():
@@ -135,17 +135,17 @@
     lasted = []
     now = 1
     for _ in range(5):
-        (judgement,) = judge_failures(collector, directory, now, tokens[0])
-        lasted.append(judgement.seconds)
+        (detection,) = evaluate_failures(collector, directory, now, tokens[0])
+        lasted.append(detection.seconds)
         # News of requests from before the suspicion.
-        assert not judge_failures(collector, directory, now + 0.5, tokens[0])
-        now += judgement.seconds
+        assert not evaluate_failures(collector, directory, now + 0.5, tokens[0])
+        now += detection.seconds
         assert not suspect_tokens(directory.suspicions, now)
-        assert not judge_service(collector, directory, now, SERVICE)
+        assert not evaluate_service(collector, directory, now, SERVICE)
         now += 0.2
     assert lasted == [2, 4, 8, 10, 10]
-    (judgement,) = judge_failures(collector, directory, now + 30, tokens[0])
-    assert judgement.seconds == 2
+    (detection,) = evaluate_failures(collector, directory, now + 30, tokens[0])
+    assert detection.seconds == 2
     assert len(list(pop_ended(collector, now + 33))) == 1
     assert not list(pop_ended(collector, now + 60))
     assert not collector.terms_by_token
@@ -160,8 +160,8 @@
     for reporter in ('b-3', 'b-4'):
         load = one_post(tokens[9], reporter, 0, age_ms=1_000, busy_ms=busy_ms)
         add_evidence(collector, directory, 1, load)
-    judged = judge_failures(collector, directory, 1, *tokens[:bad])
-    assert len(judged) == suspects
+    detections = evaluate_failures(collector, directory, 1, *tokens[:bad])
+    assert len(detections) == suspects
 
 
 def test_suspicion_grows_while_processes_pass_it_around():
--- a/tests/test_token_forwarding.py
+++ b/tests/test_token_forwarding.py
@@ -495,7 +495,7 @@
 def test_suspect_server_gets_flows_while_there_are_others(heeds):
     tables = tables_of(*(server(number) for number in range(1, 5)))
     tables.data_centre = 'dc-1'
-    tables.heeds_suspicions = heeds
+    tables.avoids_suspects = heeds
     tokens = list(tables.directory.servers_by_token)
     suspicions = tables.directory.suspicions
     suspect_until(suspicions, NOW - 1, tokens[0], NOW + 1)
--- a/tools/fakes/evidence_fleet.py
+++ b/tools/fakes/evidence_fleet.py
@@ -1,7 +1,7 @@
 """A played load on servers of which some go bad, watched by many balancers.
 
 Time is virtual and every choice follows from the seed. Callers, servers and
-links are simple models; tracking, posts and judgements are the product's.
+links are simple models; tracking, posts and evaluation are the product's.
 """
 
 import functools
@@ -17,7 +17,7 @@
 from mustardhold.systems.answer_tracking import check_due, track_packet
 from mustardhold.systems.directory import merge_report
 from mustardhold.systems.evidence_window import add_evidence
-from mustardhold.systems.server_evidence import judge_service
+from mustardhold.systems.server_evidence import evaluate_service
 from mustardhold.systems.suspicions import is_suspect, suspect_tokens
 from mustardhold.tables.answer_tracking import AnswerTracking
 from mustardhold.tables.configurations import (
@@ -192,7 +192,7 @@
 
 
 def post(run: Play, index: int, now: float) -> None:
-    """Post a balancer's evidence, and judge it."""
+    """Post a balancer's evidence, and evaluate it."""
     fleet, tracking = run.fleet, run.trackings[index]
     run.at(now + POST_SECONDS, functools.partial(post, run, index))
     check_due(tracking, now)
@@ -204,7 +204,7 @@
     if made is None:
         return
     add_evidence(fleet.collector, fleet.directory, now, made)
-    for one in judge_service(fleet.collector, fleet.directory, now, SERVICE):
+    for one in evaluate_service(fleet.collector, fleet.directory, now, SERVICE):
         fleet.suspected_at.setdefault(one.token, now)
         run.known_since[one.token] = now + FEED_SECONDS
     suspects = len(suspect_tokens(fleet.directory.suspicions, now))
