Name the constants of the overload limit by usual terms

Cause: MOST, FALL, LEAST_LEVEL, DEVIATIONS and least_share do not say what they measure. Change: They are MIN_LATE_SHARE, FALL_FACTOR, MIN_LEVEL, STANDARD_ERRORS and wilson_lower_bound.

--- a/src/mustardhold/systems/overload_level.py
+++ b/src/mustardhold/systems/overload_level.py
@@ -24,16 +24,16 @@
 
 # With fewer answers, chance alone makes most of them late.
 MIN_ANSWERS = 10
-MOST = 0.5
+MIN_LATE_SHARE = 0.5
 # Faults make up to 20 % of the servers slow, and up to 30 % may be suspect at
 # a time, so overload needs more, beyond three standard errors.
 MIN_LATE_SERVERS = 0.4
-DEVIATIONS = 3.0
+STANDARD_ERRORS = 3.0
 
 # Callers retry twice, so a service that is asked for 1.5 times its capacity
 # gets up to three times the openings it can serve.
-FALL = 0.4
-LEAST_LEVEL = 0.05
+FALL_FACTOR = 0.4
+MIN_LEVEL = 0.05
 # Together these settle where 0.5 % of the answers are late: callers of the most
 # important class need 98 % in time, and the load varies around that.
 RISE = 0.01
@@ -52,7 +52,7 @@
     demand = total_demand(load, now)
     if load.rate_limit >= demand:
         return 1
-    return max(load.rate_limit / demand, LEAST_LEVEL)
+    return max(load.rate_limit / demand, MIN_LEVEL)
 
 
 def check_answers(
@@ -121,21 +121,21 @@
     """
     seen = sum_answers(window)
     answers = seen.late + seen.in_time
-    if answers < MIN_ANSWERS or seen.late <= answers * MOST:
+    if answers < MIN_ANSWERS or seen.late <= answers * MIN_LATE_SHARE:
         return False
     most = max(one.asked_servers for one in window)
     choices = most + (seen.asked_servers - most) * new_flow_share
     share = min(seen.late_servers / max(seen.asked_servers, 1), 1)
-    return least_share(share, choices) > MIN_LATE_SERVERS
+    return wilson_lower_bound(share, choices) > MIN_LATE_SERVERS
 
 
-def least_share(share: float, samples: float) -> float:
+def wilson_lower_bound(share: float, samples: float) -> float:
     """Return the lower bound of a share by Wilson's interval."""
     if not samples:
         return 0
-    spread = DEVIATIONS**2 / samples
+    spread = STANDARD_ERRORS**2 / samples
     deviation = math.sqrt(share * (1 - share) / samples + spread / samples / 4)
-    return (share + spread / 2 - DEVIATIONS * deviation) / (1 + spread)
+    return (share + spread / 2 - STANDARD_ERRORS * deviation) / (1 + spread)
 
 
 def new_flow_share(load: ServiceLoad) -> float:
@@ -153,8 +153,8 @@
     """
     demand = total_demand(load, now)
     load.overload_rate = min(load.rate_limit, demand)
-    limit = load.overload_rate * FALL ** new_flow_share(load)
-    load.rate_limit = max(limit, LEAST_LEVEL * demand)
+    limit = load.overload_rate * FALL_FACTOR ** new_flow_share(load)
+    load.rate_limit = max(limit, MIN_LEVEL * demand)
     load.is_probing = True
     load.headroom_since = math.inf
     load.checked_at = now + SETTLING_SECONDS
