Soak: order evacuations and check that they take effect

Cause: the soak covered configurations and draining servers, but no evacuation of a data centre under faults.

Change: the operator evacuates one data centre after another through the proxies and restores each. A violation is recorded if a SYN reaches a server there more than 5 s after the acknowledged start and before the end is sent, unless the sending balancer or a control instance was disturbed within 4 s, as in the check for draining servers. An order that is not acknowledged although the control instances and the network were undisturbed for 4 s is also a violation. The data centres take turns, since a delayed duplicate of an order cannot be told from a new one. The settings list the data centres in `zones`.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -23,6 +23,7 @@
     make_traffic,
     poll_readiness,
     run_caller,
+    run_evacuations,
     run_operator,
     run_server,
     send_configuration,
@@ -134,6 +135,7 @@
     count_event(world, f'network {proxy.mode}')
     await trio.sleep(world.rng.uniform(1, 4))
     proxy.mode = 'pass'
+    world.disturbed_at['network'] = trio.current_time()
 
 
 async def change_servers(traffic: Traffic, nursery: trio.Nursery) -> None:
@@ -180,7 +182,8 @@
     """Start overlapping faults at random intervals, and wait for their end."""
     rng = traffic.world.rng
     end = trio.current_time() + seconds
-    async with trio.open_nursery() as nursery:
+    async with trio.open_nursery() as operator, trio.open_nursery() as nursery:
+        operator.start_soon(run_evacuations, traffic, seconds)
         while trio.current_time() < end:
             nursery.start_soon(rng.choice(FAULTS), traffic, nursery)
             await trio.sleep(rng.uniform(0.3, 1.2))
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -25,6 +25,7 @@
     balancer_names,
     control_names,
     count_event,
+    data_centre_names,
     host_address,
     record_violation,
 )
@@ -40,6 +41,9 @@
 # Time limits are checked only for programs without a fault for this long.
 UNDISTURBED_SECONDS = 4.0
 SERVERS = 6
+EVACUATION_SECONDS = 5.0
+EVACUATION_HOLD_SECONDS = (7.0, 12.0)
+EVACUATION_PAUSE_SECONDS = (0.5, 4.0)
 
 
 @dataclass(slots=True)
@@ -94,6 +98,9 @@
         Last version that the operator sent.
     acknowledged_version
         Highest version that a control instance acknowledged.
+    evacuated_at
+        When the evacuation of a data centre was acknowledged, by its name,
+        until the order to end it is sent.
     """
 
     world: World
@@ -105,6 +112,7 @@
     next_server: int = 1
     version: int = 0
     acknowledged_version: int = 0
+    evacuated_at: dict[str, float] = field(default_factory=dict)
     client: HttpClient = field(default_factory=HttpClient)
 
 
@@ -186,6 +194,7 @@
     flags, port = header[4], header[8]
     if flags & SYN:
         check_no_flow_after_drain(world, server, sender)
+        check_no_flow_in_evacuation(traffic, server, sender)
         server.half_open_ports.add(port)
         await send_reply(traffic, server, packet, SYN | ACK)
     elif flags & ACK and port in server.half_open_ports | server.open_ports:
@@ -225,6 +234,38 @@
         )
 
 
+def data_centre_of(server: Server) -> str:
+    """Return the name of a server's data centre."""
+    names = data_centre_names()
+    return names[server.number % len(names)]
+
+
+def check_no_flow_in_evacuation(
+    traffic: Traffic, server: Server, sender: str
+) -> None:
+    """Check that no flow opens in a data centre whose evacuation is in force.
+
+    The check is skipped under the conditions of the check for draining servers.
+    """
+    world, data_centre = traffic.world, data_centre_of(server)
+    now = trio.current_time()
+    evacuated_at = traffic.evacuated_at.get(data_centre, now)
+    seconds_late = now - evacuated_at - EVACUATION_SECONDS
+    names = [
+        name for name in balancer_names() if host_address(world, name) == sender
+    ]
+    last_disturbed_at = max(
+        world.disturbed_at.get(name, 0) for name in (*names, *control_names())
+    )
+    is_undisturbed = now - last_disturbed_at > UNDISTURBED_SECONDS
+    if seconds_late > 0 and is_undisturbed:
+        record_violation(
+            world,
+            f'server {server.number} in evacuated {data_centre} got a flow '
+            f'from {sender} {seconds_late:.2f} s late',
+        )
+
+
 async def send_reply(
     traffic: Traffic, server: Server, packet: bytes, flags: int
 ) -> None:
@@ -342,7 +383,7 @@
         body = {
             'service': 'feed',
             'address': server.address,
-            'zone': f'dc-{server.number % 3}',
+            'zone': data_centre_of(server),
             'slots': 2,
             'state': server.state,
             'sequence': server.sequence,
@@ -450,3 +491,54 @@
         await trio.sleep(traffic.world.rng.uniform(0.1, 0.5))
         await send_configuration(traffic)
         await check_configuration(traffic)
+
+
+async def send_order(traffic: Traffic, data_centre: str, verb: str) -> bool:
+    """Resend an order on an evacuation until it is acknowledged.
+
+    Gives up, with a violation, if the control instances and the network were
+    undisturbed for ``UNDISTURBED_SECONDS`` since the order was first sent.
+    """
+    world, sent_at = traffic.world, trio.current_time()
+    request = ('POST', f'/api/evacuation/{data_centre}/{verb}', b'')
+    names = control_names()
+    while True:
+        name = world.rng.choice(names)
+        response = await send_to_control(traffic, name, request)
+        if response is not None and response.is_success:
+            count_event(world, f'evacuation {verb}')
+            return True
+        is_disturbed = bool(world.expected_down & set(names)) or any(
+            proxy.mode != 'pass' for proxy in world.proxies_by_name.values()
+        )
+        disturbed_at = [
+            world.disturbed_at.get(one, 0) for one in (*names, 'network')
+        ]
+        undisturbed_since = max(sent_at, *disturbed_at)
+        seconds = trio.current_time() - undisturbed_since
+        if not is_disturbed and seconds > UNDISTURBED_SECONDS:
+            record_violation(
+                world, f'{verb} of {data_centre} was not acknowledged by {name}'
+            )
+            return False
+        await trio.sleep(0.2)
+
+
+async def run_evacuations(traffic: Traffic, seconds: float) -> None:
+    """Evacuate one data centre after another, and restore each.
+
+    They take turns because a delayed duplicate of an earlier order for the same
+    data centre could revoke a new evacuation.
+    """
+    rng, end = traffic.world.rng, trio.current_time() + seconds
+    names = data_centre_names()
+    rng.shuffle(names)
+    while trio.current_time() < end:
+        await trio.sleep(rng.uniform(*EVACUATION_PAUSE_SECONDS))
+        data_centre = names.pop(0)
+        names.append(data_centre)
+        if await send_order(traffic, data_centre, 'start'):
+            traffic.evacuated_at[data_centre] = trio.current_time()
+            await trio.sleep(rng.uniform(*EVACUATION_HOLD_SECONDS))
+            del traffic.evacuated_at[data_centre]
+        await send_order(traffic, data_centre, 'end')
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -18,6 +18,7 @@
 CONTROL_PORT, INTERNAL_PORT = 7001, 7101
 DATA_PORT, READY_PORT, SERVER_PORT = 7201, 7301, 8001
 CONTROLS, BALANCERS = 4, 3
+DATA_CENTRES = 3
 SEEDS = 3
 REPORT_INTERVAL_SECONDS = 0.4
 MAX_BLOCKS = 200
@@ -52,7 +53,7 @@
         First two numbers of all IP addresses.
     disturbed_at
         Last time a program was disturbed or started, by its name, on the
-        clock of trio.
+        clock of trio. The key ``network`` stands for all proxies.
     log_bytes_at_start
         Size of each program's log when the program was last started.
     expected_down
@@ -104,6 +105,11 @@
     return [f'balancer-{number}' for number in range(BALANCERS)]
 
 
+def data_centre_names() -> list[str]:
+    """Return the names of the data centres that hold servers."""
+    return [f'dc-{number}' for number in range(DATA_CENTRES)]
+
+
 def record_violation(world: World, violation: str) -> None:
     """Record a violation with the current time."""
     world.violations.append(f'{trio.current_time():.2f} {violation}')
@@ -131,6 +137,7 @@
         'node_name': name,
         'ip_address': host,
         'zone': f'dc-{name[-1]}',
+        'zones': {f'dc-{one}': 'region-0' for one in range(CONTROLS)},
         'bind_addresses': {
             'datagram_address': f'{host}:{DATA_PORT}',
             'readiness_address': f'{host}:{READY_PORT}',
