Send early responses that exceed the socket's buffer

Cause: the early feed's sockets are non-blocking, so sendall raised BlockingIOError once the buffer was full, and the connection was closed in the middle of the body. SEND_SECONDS was defined for this but never used. Change: the response is sent with that time-out; reads stay non-blocking.

--- a/src/mustardhold/daemons/early_feed.py
+++ b/src/mustardhold/daemons/early_feed.py
@@ -285,8 +285,9 @@
         headers.append((REQUEST_ID, connection.request_id))
     response = h11.Response(status_code=200, headers=headers)
     parts = (response, h11.Data(data=body), h11.EndOfMessage())
-    connection.sock.sendall(
-        b''.join(protocol.send(part) or b'' for part in parts)
-    )
+    raw = b''.join(protocol.send(part) or b'' for part in parts)
+    connection.sock.settimeout(SEND_SECONDS)
+    connection.sock.sendall(raw)
+    connection.sock.setblocking(False)
     feed.answered += 1
     return prepare_reuse(protocol)
--- a/tests/test_early_feed.py
+++ b/tests/test_early_feed.py
@@ -55,6 +55,8 @@
 from tools.processes import free_tcp_address
 
 TIMEOUT_SECONDS = 10
+# More than the buffers of both sockets hold.
+LARGE_DOCUMENT_BYTES = 16_000_000
 DOCUMENT = VersionedDocument(4, b'packed' * 20_000)
 EVACUATIONS = EvacuationState(3, ())
 ALIVE = ServerReport(
@@ -128,6 +130,24 @@
     assert msgspec.msgpack.decode(document, type=VersionedDocument) == DOCUMENT
 
 
+def test_document_larger_than_the_socket_buffer_is_sent_whole(folder):
+    """Guards against a response cut off when the socket's buffer is full."""
+    large = VersionedDocument(5, bytes(LARGE_DOCUMENT_BYTES))
+    save_document(FolderDisk(Path(folder), -1), large)
+    address = free_tcp_address()
+    feed = start_early_feed(address, folder)
+    assert feed is not None
+    try:
+        with pumping(feed):
+            response = httpx.get(
+                f'http://{address}{DOCUMENT_PATH}', timeout=TIMEOUT_SECONDS
+            )
+        body = response.content
+        assert msgspec.msgpack.decode(body, type=VersionedDocument) == large
+    finally:
+        stop_early_feed(feed).close()
+
+
 def test_second_poll_waits_until_the_hand_over(early_feed):
     feed, address = early_feed
     request = FeedRequest('b1', poll(address).position)
