Split the feed's replies and state from its handlers

Change: feed_publisher.py has the published state and wakes polls, feed_replies.py makes the replies, feed_handlers.py handles polls. The handlers are listed in make_feed_handlers, as token_balancer.py would else exceed its limit of imports. Functions and behaviour are otherwise the same.

--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -34,11 +34,8 @@
     handle_evidence,
 )
 from mustardhold.daemons.feed_client import run_feed_client
-from mustardhold.daemons.feed_handlers import (
-    handle_feed_poll,
-    show_document,
-    wake_if_changed,
-)
+from mustardhold.daemons.feed_handlers import handle_feed_poll, show_document
+from mustardhold.daemons.feed_publisher import wake_if_changed
 from mustardhold.daemons.metrics_server import serve_metrics
 from mustardhold.daemons.registry_metrics import collect_metrics
 from mustardhold.daemons.registry_state import RegistryControl
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -17,10 +17,10 @@
 )
 from mustardhold.daemons.evacuation_handlers import log_evacuations
 from mustardhold.daemons.evidence_handlers import EvidenceDesk
-from mustardhold.daemons.feed_handlers import (
+from mustardhold.daemons.feed_handlers import wait_merged
+from mustardhold.daemons.feed_publisher import (
     FeedPublisher,
     make_run_id,
-    wait_merged,
     wake_if_changed,
     wake_watchers,
 )
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -14,12 +14,8 @@
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
 from mustardhold.daemons.evidence_tasks import start_evidence_tasks
 from mustardhold.daemons.feed_client import run_feed_client
-from mustardhold.daemons.feed_handlers import (
-    FeedPublisher,
-    handle_feed_poll,
-    make_run_id,
-    show_document,
-)
+from mustardhold.daemons.feed_handlers import make_feed_handlers
+from mustardhold.daemons.feed_publisher import FeedPublisher, make_run_id
 from mustardhold.daemons.feed_state import (
     DocumentSink,
     FeedClient,
@@ -54,7 +50,6 @@
     FEED_WATCHERS_PER_BALANCER,
     WATCHED_CONTROLS,
 )
-from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
 from mustardhold.tables.forwarding import ForwardingTables
 from mustardhold.tables.options import TokenBalancerOptions
 
@@ -154,14 +149,7 @@
 def make_feed_app(balancer: TokenBalancer) -> Application:
     """Make the application that serves the feed to other balancers."""
     return make_app(
-        {
-            ('POST', FEED_PATH): functools.partial(
-                handle_feed_poll, balancer.feed
-            ),
-            ('GET', DOCUMENT_PATH): functools.partial(
-                show_document, balancer.feed
-            ),
-        },
+        make_feed_handlers(balancer.feed),
         on_error=functools.partial(
             report_error, balancer.error_reporter, 'feed-failed'
         ),
--- a/src/mustardhold/daemons/token_packets.py
+++ b/src/mustardhold/daemons/token_packets.py
@@ -12,7 +12,7 @@
     log_level_changes,
 )
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
-from mustardhold.daemons.feed_handlers import FeedPublisher
+from mustardhold.daemons.feed_publisher import FeedPublisher
 from mustardhold.daemons.feed_state import FeedClient
 from mustardhold.daemons.link_sending import LinkSender, submit
 from mustardhold.systems.histograms import (
--- a/src/mustardhold/daemons/token_tables.py
+++ b/src/mustardhold/daemons/token_tables.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from mustardhold.daemons.feed_handlers import wake_if_changed, wake_watchers
+from mustardhold.daemons.feed_publisher import wake_if_changed, wake_watchers
 from mustardhold.daemons.packet_loop import handle_guarded
 from mustardhold.daemons.token_packets import TokenBalancer, handle_datagram
 from mustardhold.systems.directory import whole_milliseconds
--- a/tests/test_early_feed.py
+++ b/tests/test_early_feed.py
@@ -30,11 +30,8 @@
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.early_feed import start_early_feed, stop_early_feed
 from mustardhold.daemons.feed_client import run_feed_client
-from mustardhold.daemons.feed_handlers import (
-    FeedPublisher,
-    handle_feed_poll,
-    show_document,
-)
+from mustardhold.daemons.feed_handlers import handle_feed_poll, show_document
+from mustardhold.daemons.feed_publisher import FeedPublisher
 from mustardhold.daemons.feed_state import (
     DocumentSink,
     FeedClient,
--- a/tests/test_evacuation_handlers.py
+++ b/tests/test_evacuation_handlers.py
@@ -17,10 +17,7 @@
 from mustardhold.cli import main
 from mustardhold.commands import data_centres
 from mustardhold.daemons.directory_maintenance import save_evacuation_state
-from mustardhold.daemons.feed_handlers import (
-    handle_feed_poll,
-    has_updates,
-)
+from mustardhold.daemons.feed_handlers import handle_feed_poll, has_updates
 from mustardhold.daemons.registry_control import make_internal_handlers
 from mustardhold.daemons.registry_metrics import collect_metrics
 from mustardhold.daemons.registry_state import make_control
--- a/tests/test_evidence_daemons.py
+++ b/tests/test_evidence_daemons.py
@@ -15,13 +15,10 @@
     post_evidence,
     take_due,
 )
-from mustardhold.daemons.feed_handlers import (
-    FeedPublisher,
-    Watcher,
-    has_updates,
-    make_reply,
-)
+from mustardhold.daemons.feed_handlers import has_updates
 from mustardhold.daemons.feed_polls import merge_reply
+from mustardhold.daemons.feed_publisher import FeedPublisher
+from mustardhold.daemons.feed_replies import make_reply
 from mustardhold.daemons.feed_state import FeedClient, WatcherIdentity
 from mustardhold.systems.suspicions import suspect_tokens, suspect_until
 from mustardhold.tables.answer_tracking import ServerOutcomes, ServiceAnswers
@@ -33,6 +30,7 @@
     FeedRequest,
     FeedSource,
     ReceivedReply,
+    Watcher,
 )
 from mustardhold.tables.forwarding import ForwardingTables
 from mustardhold.tables.outcomes import Err, Ok
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -26,12 +26,11 @@
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.feed_client import next_addresses, run_feed_client
 from mustardhold.daemons.feed_handlers import (
-    FeedPublisher,
     handle_feed_poll,
     show_document,
     wait_merged,
-    wake_watchers,
 )
+from mustardhold.daemons.feed_publisher import FeedPublisher, wake_watchers
 from mustardhold.daemons.feed_state import (
     DocumentSink,
     FeedClient,
--- a/tests/test_feed_tree.py
+++ b/tests/test_feed_tree.py
@@ -14,11 +14,10 @@
 from mustardhold.adapters.http_app import Reply, make_app
 from mustardhold.adapters.http_server import serve_http
 from mustardhold.daemons.feed_client import run_feed_client
-from mustardhold.daemons.feed_handlers import (
+from mustardhold.daemons.feed_handlers import handle_feed_poll, show_document
+from mustardhold.daemons.feed_publisher import (
     FeedPublisher,
-    handle_feed_poll,
     make_run_id,
-    show_document,
     wake_if_changed,
     wake_watchers,
 )
