Count the openings of the whole time since the last check

Cause: after a fall, the next check comes a second later, but the openings of both seconds were divided by one. The rate was up to twice too high, and with it the part of new flows, so falls and corrections were too strong where flows are long. Change: the time since which openings are counted is kept apart.

--- a/src/mustardhold/systems/overload_control.py
+++ b/src/mustardhold/systems/overload_control.py
@@ -66,7 +66,7 @@
     if now - load.checked_at >= CHECK_SECONDS:
         check_service(control, now, opening.service, read_answers())
     if math.isinf(load.rate_limit) or is_within_share(load, now, opening):
-        load.admitted_since += 1
+        load.admitted += 1
         control.refused_at_by_flow.pop(opening.flow, None)
         return True
     remember_refusal(control, now, opening.flow)
@@ -80,7 +80,7 @@
     if load is None:
         if len(loads) >= MAX_CONTROLLED_SERVICES:
             loads.popitem(last=False)
-        load = ServiceLoad(checked_at=now)
+        load = ServiceLoad(checked_at=now, counted_since=now)
         loads[service] = load
     loads.move_to_end(service)
     return load
--- a/src/mustardhold/systems/overload_level.py
+++ b/src/mustardhold/systems/overload_level.py
@@ -69,8 +69,9 @@
     """
     elapsed = now - load.checked_at
     load.checked_at = now
-    load.admitted_rate = load.admitted_since / elapsed
-    load.admitted_since = 0
+    load.admitted_rate = load.admitted / (now - load.counted_since)
+    load.admitted = 0
+    load.counted_since = now
     if elapsed > WINDOW_SECONDS:
         load.window.clear()
     if elapsed > FORGET_SECONDS:
--- a/src/mustardhold/tables/overload.py
+++ b/src/mustardhold/tables/overload.py
@@ -90,8 +90,8 @@
     ----------
     demand_by_class
         Demand by class of openings.
-    admitted_since
-        Openings admitted since ``checked_at``.
+    admitted, counted_since
+        Openings admitted since a time.
     window
         Answers of the last seconds, one entry for each.
     rate_limit
@@ -103,17 +103,19 @@
     is_probing
         Whether no answer has been late since the last fall.
     admitted_rate
-        Openings a second that were admitted before ``checked_at``.
+        Openings a second that were admitted before the latest check.
     headroom_since
         Since when the limit has been above the demand.
     checked_at, shared_at
-        When the limit was last adapted, and when it was last shared out.
+        When the limit was last adapted, and when it was last shared out. After
+        a fall, ``checked_at`` is ahead, so that the next check comes later.
     """
 
     demand_by_class: dict[OpeningClass, ClassDemand] = field(
         default_factory=dict
     )
-    admitted_since: int = 0
+    admitted: int = 0
+    counted_since: float = float('-inf')
     window: deque[RecentAnswers] = field(
         default_factory=lambda: deque(maxlen=WINDOW_SECONDS)
     )
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -355,6 +355,16 @@
     assert levels[1] > 0.85
 
 
+def test_rate_after_a_fall_is_not_overstated():
+    # The check after a fall comes a second late, and counts that second too.
+    control = OverloadControl()
+    answers = RecentAnswers(200, 0, 200, 10, 10)
+    for number in range(140):
+        admit(control, number / 20, number, answers)
+        (load,) = control.loads_by_service.values()
+        assert load.admitted_rate <= 21
+
+
 def test_tables_are_bounded():
     control, now = overloaded()
     for number in range(2 * MAX_REFUSED_FLOWS):
