--- a/src/mustardhold/systems/answer_counts.py
+++ b/src/mustardhold/systems/answer_counts.py
@@ -125,8 +125,8 @@
 ) -> EvidencePost | None:
     """Take a service's outcomes to post them; None if none is bad.
 
-    Good outcomes go along, since a server is judged by its work. Without bad
-    ones they are dropped after a time.
+    Good outcomes are posted with bad ones, which count in relation to work.
+    Without bad ones they are dropped after a time.
     """
     age = now - service.taken_at
     if not service.has_bad:
--- a/src/mustardhold/systems/dispatch.py
+++ b/src/mustardhold/systems/dispatch.py
@@ -9,7 +9,7 @@
     next_waiting,
     window_for,
 )
-from mustardhold.systems.hedging import note_dispatch
+from mustardhold.systems.hedging import credit_and_schedule_hedge
 from mustardhold.systems.ownership import is_lease_live, owners_of_flow
 from mustardhold.systems.request_chain import forward_chain
 from mustardhold.systems.request_history import (
@@ -54,7 +54,7 @@
     acquire_slot(window_for(tables, record.backend_id), record)
     if record.idempotent:
         forward_idempotent(tables, now, key, record, outbox)
-        note_dispatch(tables, now, key, record)
+        credit_and_schedule_hedge(tables, now, key, record)
         return
     record.packet = None
     record.forwards += 1
--- a/src/mustardhold/systems/hedge_copies.py
+++ b/src/mustardhold/systems/hedge_copies.py
@@ -16,8 +16,8 @@
 from mustardhold.systems.hedge_promises import request_promises
 from mustardhold.systems.hedging import (
     choose_target,
-    find_obstacle,
     hedge_delay,
+    reason_against_copy,
     record_latency,
     schedule_hedge,
     spend_token,
@@ -60,7 +60,7 @@
     if delay is None or now < record.sent_at + delay:
         schedule_hedge(tables, now, key, record)
         return
-    obstacle = find_obstacle(tables, now, record)
+    obstacle = reason_against_copy(tables, now, record)
     if not is_active_primary(tables, now, record.flow):
         obstacle = 'owner-changed'
     target = None if obstacle else choose_target(tables, now, record)
@@ -192,9 +192,14 @@
 
 
 def is_whole(hedge: Hedge) -> bool:
-    """Return whether all parts of a copy's answer have arrived."""
-    return any(
-        len(hedge.parts) == packet.parts for packet in hedge.parts.values()
+    """Return whether all parts of a copy's answer have arrived.
+
+    Parts that disagree on their number never make an answer.
+    """
+    count = len(hedge.parts)
+    return count > 0 and all(
+        packet.parts == count and number < count
+        for number, packet in hedge.parts.items()
     )
 
 
@@ -273,7 +278,9 @@
     add_event(tables, now, record, hedge, details)
 
 
-def settle_hedges(tables: BalancerTables, now: float, outbox: Outbox) -> None:
+def finish_ended_hedges(
+    tables: BalancerTables, now: float, outbox: Outbox
+) -> None:
     """End the copies of requests that were answered or ended otherwise."""
     for key, hedge in tuple(tables.hedging.running.items()):
         record = tables.requests.records_by_key.get(key)
--- a/src/mustardhold/systems/hedge_routing.py
+++ b/src/mustardhold/systems/hedge_routing.py
@@ -10,11 +10,11 @@
 from mustardhold.systems.hedge_copies import (
     consider_copy,
     finish,
+    finish_ended_hedges,
     handle_copy_answer,
     handle_copy_shed,
     resend_promise_requests,
     run_due_hedges,
-    settle_hedges,
 )
 from mustardhold.systems.hedge_promises import (
     divert_answer,
@@ -119,7 +119,7 @@
     if record is not None and not record.parts_seen:
         record_latency(tables, now, record)
     handle_answer(tables, packet, outbox)
-    settle_hedges(tables, now, outbox)
+    finish_ended_hedges(tables, now, outbox)
     if service_of(tables, packet.flow) in policy.services:
         flush_answer_reports(tables, outbox)
 
@@ -143,7 +143,7 @@
     expire_promises(tables, now)
     if tables.hedging.policy is None:
         return
-    settle_hedges(tables, now, outbox)
+    finish_ended_hedges(tables, now, outbox)
     resend_promise_requests(tables, outbox)
     run_due_hedges(tables, now, outbox)
     close_copy_flows(tables, now, outbox)
--- a/src/mustardhold/systems/hedging.py
+++ b/src/mustardhold/systems/hedging.py
@@ -50,11 +50,11 @@
         record.service, LatencySamples()
     )
     latencies.samples.append(now - record.sent_at)
-    latencies.unsorted += 1
+    latencies.unsorted_samples += 1
     count = len(latencies.samples)
-    is_due = latencies.unsorted >= HEDGE_RESORT_SAMPLES
+    is_due = latencies.unsorted_samples >= HEDGE_RESORT_SAMPLES
     if count >= MIN_HEDGE_SAMPLES and is_due:
-        latencies.unsorted = 0
+        latencies.unsorted_samples = 0
         rank = math.ceil(count * HEDGE_PERCENTILE) - 1
         latencies.percentile = sorted(latencies.samples)[rank]
 
@@ -68,7 +68,7 @@
     return max(latencies.percentile, policy.least_delay.total_seconds())
 
 
-def note_dispatch(
+def credit_and_schedule_hedge(
     tables: BalancerTables, now: float, key: bytes, record: RequestRecord
 ) -> None:
     """Credit the budget for a request, and schedule its copy."""
@@ -100,7 +100,7 @@
     tables.hedging.tokens_by_service[service] -= 1
 
 
-def find_obstacle(
+def reason_against_copy(
     tables: BalancerTables, now: float, record: RequestRecord
 ) -> str:
     """Return why a request that is due gets no copy; empty if it may."""
--- a/src/mustardhold/systems/overload_control.py
+++ b/src/mustardhold/systems/overload_control.py
@@ -1,6 +1,6 @@
 """Decides which openings are refused while a service has too little capacity.
 
-The answered load is more requests than a service's servers answer in time, for
+The load is more requests than a service's servers answer in time, for
 seconds or longer, seen by balancers that have a small share of it each: some
 ten requests a second. Refusing the least important openings then lets the
 others be answered in time.
--- a/src/mustardhold/systems/overload_demand.py
+++ b/src/mustardhold/systems/overload_demand.py
@@ -1,6 +1,6 @@
 """Shares a limited rate of openings among classes and callers.
 
-The answered load is that of many callers behind one service, of which some
+The load is that of many callers behind one service, of which some
 are more important and some ask far more than others. The most important class
 gets all it asks; the class for which the rate does not suffice is divided
 among its callers, each up to the same count, so that those that ask most are
--- a/src/mustardhold/systems/request_messages.py
+++ b/src/mustardhold/systems/request_messages.py
@@ -5,8 +5,8 @@
 from mustardhold.systems.dropped_chains import handle_chain_dropped
 from mustardhold.systems.early_messages import release_messages
 from mustardhold.systems.hedge_copies import (
+    finish_ended_hedges,
     handle_hedge_promise,
-    settle_hedges,
 )
 from mustardhold.systems.hedge_promises import handle_hedge_started
 from mustardhold.systems.request_chain import handle_request_chain
@@ -39,7 +39,7 @@
             handle_chain_dropped(tables, now, message, outbox)
         case AnswerReport():
             handle_answer_report(tables, now, message, outbox)
-            settle_hedges(tables, now, outbox)
+            finish_ended_hedges(tables, now, outbox)
             dispatch_queued(tables, now, outbox)
         case RequestHistoryQuery():
             handle_history_query(tables, now, message, outbox)
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -1,6 +1,6 @@
 """Chooses the servers that an opening of a flow is sent to.
 
-The answered load is that of many short and long flows over servers with few
+The load is that of many short and long flows over servers with few
 slots: every balancer chooses alike without talking to the others, and each
 server gets its share by slots. Silent servers and those that refuse openings
 are passed over while there are others.
--- a/src/mustardhold/tables/hedging.py
+++ b/src/mustardhold/tables/hedging.py
@@ -132,14 +132,14 @@
 
     Attributes
     ----------
-    unsorted
+    unsorted_samples
         Number of samples since ``percentile`` was computed.
     """
 
     samples: deque[float] = field(
         default_factory=lambda: deque(maxlen=HEDGE_SAMPLES)
     )
-    unsorted: int = 0
+    unsorted_samples: int = 0
     percentile: float | None = None
 
 
--- a/src/mustardhold/tables/overload.py
+++ b/src/mustardhold/tables/overload.py
@@ -12,7 +12,7 @@
 from mustardhold.tables.answer_tracking import RecentAnswers
 
 # Beyond these, the service or caller that asked longest ago is forgotten. A
-# balancer gets too few openings to judge more services.
+# balancer gets too few openings to evaluate more services.
 MAX_CONTROLLED_SERVICES: Final = 32
 MAX_COUNTED_CALLERS: Final = 512
 MAX_REFUSED_FLOWS: Final = 4_096
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -10,11 +10,12 @@
 from mustardhold.systems.announcements import store_announcement
 from mustardhold.systems.deadlines import is_certainly_not_run
 from mustardhold.systems.explaining import explain
+from mustardhold.systems.hedge_copies import is_whole
 from mustardhold.systems.hedge_promises import handle_hedge_started
 from mustardhold.systems.hedging import (
     choose_target,
-    find_obstacle,
-    note_dispatch,
+    credit_and_schedule_hedge,
+    reason_against_copy,
     record_latency,
     spend_token,
 )
@@ -29,7 +30,7 @@
     HEDGE_BURST_REQUESTS,
     MIN_HEDGE_SAMPLES,
 )
-from mustardhold.tables.hedging import HedgingOptions
+from mustardhold.tables.hedging import Hedge, HedgingOptions
 from mustardhold.tables.observations import Observations
 from mustardhold.tables.outbox import ToBackend, ToCaller, ToPeer
 from mustardhold.tables.packets import Answer, Cancel, Open, Opened, Request
@@ -75,7 +76,7 @@
     tables.hedging.policy = HedgingOptions(share, least, (SERVICE,))
     for _ in range(MIN_HEDGE_SAMPLES):
         record_latency(tables, FAST, make_record(forwards=1))
-        note_dispatch(tables, 0, b'', make_record())
+        credit_and_schedule_hedge(tables, 0, b'', make_record())
     return tables
 
 
@@ -132,7 +133,7 @@
 def test_no_copy_under_overload_drain_or_without_budget(change, obstacle):
     tables, record = make_tables(), make_record()
     change(tables, record)
-    assert find_obstacle(tables, 1, record) == obstacle
+    assert reason_against_copy(tables, 1, record) == obstacle
 
 
 def suspect(tables, name):
@@ -168,9 +169,9 @@
     copies = 0
     for _ in range(20_000):
         if rng.random() < 0.5 or rng.random() < 0.3 * share:
-            note_dispatch(tables, 0, b'', make_record())
+            credit_and_schedule_hedge(tables, 0, b'', make_record())
             surplus -= share
-        elif not find_obstacle(tables, 1, make_record()):
+        elif not reason_against_copy(tables, 1, make_record()):
             spend_token(tables, SERVICE)
             copies += 1
             surplus += 1
@@ -349,3 +350,22 @@
     assert on.percentile(0.999) < 0.8 * off.percentile(0.999)
     assert 0 < on.count('hedged') <= POLICY.share * on.count('answered')
     assert not any(one.foreign_answers for one in on.requests)
+
+
+@pytest.mark.parametrize(
+    ('parts', 'whole'),
+    [
+        ([(0, 1)], True),
+        ([(0, 2), (1, 2)], True),
+        ([(0, 2)], False),
+        ([(0, 2), (5, 6)], False),
+        ([(1, 2), (2, 2)], False),
+        ([], False),
+    ],
+)
+def test_parts_that_disagree_are_no_whole_answer(parts, whole):
+    """Guards against an answer that lacks a part and repeats another one."""
+    copy = Hedge(b'', b'', 'a', 1, 0, set())
+    for part, count in parts:
+        copy.parts[part] = Answer(bytes(12), bytes(16), part, count, b'y')
+    assert is_whole(copy) is whole
