Take a failure of the leader for no refusal of an order

Cause: an instance whose step fails, for example because its disk does, answers 500 with a body that has the form of a refusal. A follower that forwarded an order decoded it as one and answered 400, which ends the operator's call for good; the command data-centre ended likewise. A mistyped address ended the command with a traceback. Change: a forwarded command has an outcome only if the status is that of the outcome; the command takes a 500 as unknown, and names an address that is none. Result: the follower answers 503, and the command goes on to the next address. The four new test cases for this failed before the change.

--- a/src/mustardhold/daemons/operator_client.py
+++ b/src/mustardhold/daemons/operator_client.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 
 import httpx
 import msgspec
@@ -147,10 +148,18 @@
             content=body,
             timeout=TIMEOUT_SECONDS,
         )
-    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+    except (
+        httpx.ConnectError,
+        httpx.ConnectTimeout,
+        httpx.InvalidURL,
+    ) as error:
         return Err(str(error))
     except httpx.HTTPError:
         return Ok(Unknown())
+    if reply.status_code == HTTPStatus.INTERNAL_SERVER_ERROR:
+        # The body has the form of a refusal, but the replica may have failed
+        # after it had sent the command to others.
+        return Ok(Unknown())
     try:
         return Ok(msgspec.json.decode(reply.content, type=AnyOutcome))
     except msgspec.DecodeError:
--- a/src/mustardhold/daemons/proposals.py
+++ b/src/mustardhold/daemons/proposals.py
@@ -7,6 +7,7 @@
 import trio
 
 from mustardhold.adapters.http_client import HttpRequest, send_request
+from mustardhold.daemons.edit_statuses import status_for
 from mustardhold.daemons.replica_node import (
     AnyOutcome,
     PendingProposal,
@@ -115,7 +116,8 @@
     """Forward a command to the leader and return its outcome.
 
     The outcome is unknown if the request may have reached the leader but no
-    valid response came back.
+    valid response came back. An error page, as after a failure of the leader's
+    disk, has the form of a refusal but not the status of one.
     """
     if leader is None:
         return NoQuorum(None)
@@ -129,9 +131,11 @@
         is_unsent = response.error.is_unsent
         return NoQuorum(leader.instance_id) if is_unsent else Unknown()
     try:
-        return _outcome_decoder.decode(response.value.body)
+        outcome = _outcome_decoder.decode(response.value.body)
     except msgspec.DecodeError:
         return Unknown()
+    is_outcome = response.value.status == status_for(outcome)
+    return outcome if is_outcome else Unknown()
 
 
 async def read_from_leader(
--- a/tests/test_evacuation_handlers.py
+++ b/tests/test_evacuation_handlers.py
@@ -13,9 +13,11 @@
     load_evacuations,
 )
 from mustardhold.adapters.http_app import HandlerRequest, make_app
+from mustardhold.adapters.http_client import HttpResponse
 from mustardhold.adapters.metrics import render_metrics
 from mustardhold.cli import main
 from mustardhold.commands import data_centres
+from mustardhold.daemons import operator_client, proposals
 from mustardhold.daemons.directory_maintenance import save_evacuation_state
 from mustardhold.daemons.feed_handlers import handle_feed_poll, has_updates
 from mustardhold.daemons.registry_control import make_internal_handlers
@@ -24,6 +26,7 @@
 from mustardhold.daemons.replica_node import close_node, execute_effects
 from mustardhold.platform.control import make_handlers
 from mustardhold.systems import consensus
+from mustardhold.tables.consensus import ReplicaMember
 from mustardhold.tables.evacuations import (
     NO_EVACUATIONS,
     EvacuatedDataCentre,
@@ -165,6 +168,44 @@
     assert (await call(follower, 'GET', '/evacuations')).status_code == 503
 
 
+@pytest.mark.parametrize('status', [404, 500])
+async def test_failure_of_the_leader_is_no_refusal(
+    follower, monkeypatch, status
+):
+    """A fault of the leader's disk must not end the operator's call for good.
+
+    The page of the error has the form of a refusal.
+    """
+    page = msgspec.json.encode(Refused((Finding('', 'internal fault'),)))
+
+    async def send_request(*_):
+        return Ok(HttpResponse(status, page))
+
+    monkeypatch.setattr(proposals, 'send_request', send_request)
+    follower.node.replica.leader = ReplicaMember('u2', 'c2', 'c2:1')
+    assert (await call(follower, 'POST', START)).status_code == 503
+    assert (await call(follower, 'POST', '/evacuations', ORDER)).is_server_error
+
+
+@pytest.mark.parametrize(('status', 'is_certain'), [(422, True), (500, False)])
+def test_command_takes_a_failure_for_no_refusal(
+    monkeypatch, status, is_certain
+):
+    """The order of an instance whose disk failed goes on to the next one."""
+    page = msgspec.json.encode(Refused((Finding('', 'internal fault'),)))
+    reply = httpx.Response(status, content=page)
+    monkeypatch.setattr(operator_client.httpx, 'post', lambda *_, **__: reply)
+    posted = operator_client.post('a:1', '/evacuations', ORDER)
+    assert operator_client.is_certain(posted.value) is is_certain
+
+
+def test_command_names_an_address_that_is_none(monkeypatch, capsys):
+    """A mistyped address must not end the command before the others."""
+    monkeypatch.setattr(data_centres, 'PAUSE_SECONDS', 0)
+    assert main(['data-centre', 'evacuate', 'dc-1', '--control=a:x']) == 1
+    assert 'not sent: a:x: Invalid port' in capsys.readouterr().err
+
+
 async def test_evacuated_data_centre_can_be_restored_without_settings(control):
     """Settings that drop a data centre must not leave it evacuated."""
     await call(control, 'POST', START)
