Let polls of balancers of an earlier version wait for changes

Cause: a balancer of a version without evacuations sends no revision, which was read as 0. From the first order on, each of its polls had news that it never took, and so was answered at once, for as long as that balancer ran. Change: a request without the revision counts as one that is never older. Result: such a balancer polls as before. The new test failed before the change.

--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -3,9 +3,7 @@
 import msgspec
 
 from mustardhold.adapters.http_client import HttpRequest, send_request
-from mustardhold.daemons.feed_state import (
-    FeedClient,
-)
+from mustardhold.daemons.feed_state import FeedClient
 from mustardhold.systems.directory import (
     drop_unconfirmed,
     merge_rows,
@@ -29,6 +27,7 @@
 from mustardhold.tables.directory import Directory
 from mustardhold.tables.feed import (
     FEED_PATH,
+    NEVER_NEWER,
     FeedReply,
     FeedRequest,
     FeedSource,
@@ -36,7 +35,6 @@
 )
 from mustardhold.tables.outcomes import Err
 
-NEVER_NEWER = 2**62
 FIRST_POLL_SECONDS = FEED_SNAPSHOT_TIMEOUT.total_seconds()
 POLL_SECONDS = (FEED_WAIT + FEED_MARGIN).total_seconds()
 
--- a/src/mustardhold/tables/feed.py
+++ b/src/mustardhold/tables/feed.py
@@ -13,6 +13,8 @@
 DOCUMENT_PATH: Final = '/document'
 NEVER_CONFIRMED: Final = float('-inf')
 """Time of a confirmation that has not happened."""
+NEVER_NEWER: Final = 2**62
+"""Revision or version of a watcher that takes none; no other is newer."""
 
 
 class FeedPosition(msgspec.Struct, frozen=True, array_like=True):
@@ -66,6 +68,7 @@
         Addresses of relays that lately did not serve the watcher.
     evacuation_revision
         Revision of the evacuated data centres that the watcher knows.
+        Watchers of an earlier version send none and take none.
     balancers
         Part of the watcher, and of the balancers that follow it, that the
         sender counts; not used for a control instance.
@@ -79,7 +82,7 @@
     data_centre: str = ''
     confirmed_ms: int | None = None
     failed_relays: tuple[str, ...] = ()
-    evacuation_revision: int = 0
+    evacuation_revision: int = NEVER_NEWER
     balancers: float = 1
 
 
--- a/tests/test_evacuation_handlers.py
+++ b/tests/test_evacuation_handlers.py
@@ -258,6 +258,16 @@
     assert await poll(feed, query) == expected
 
 
+async def test_poll_of_an_earlier_version_waits_for_changes(control):
+    """Balancers that cannot take the state must not poll without a pause."""
+    control.node.replica.evacuations = STATE
+    query = FeedRequest('b1', FeedPosition(control.feed.run_id))
+    fields = msgspec.to_builtins(query)
+    del fields['evacuation_revision']
+    earlier = msgspec.convert(fields, FeedRequest)
+    assert not has_updates(control.feed, earlier.position, earlier)
+
+
 async def test_shared_first_reply_follows_the_state(control):
     """The cached reply for starting balancers must not be of an old state."""
     feed, evacuations = control.feed, []
