Spread the balancers when a share of cold servers becomes fractional

Cause: a share without a fractional part had no time at which the next opening was due. Once balancers left, all others learned of a fractional part at about the same time, and waited for the same interval from there: with a limit of 40 and 37 of 40 balancers left, a cold server got 74 openings in one second, where 65 are tolerated. Change: each window keeps the phase that a hash gives it, and uses it whenever a fractional part begins. Result: the busiest second stays within what is tolerated. Both cases of the new test failed before the change.

--- a/src/mustardhold/systems/cold_limit.py
+++ b/src/mustardhold/systems/cold_limit.py
@@ -60,23 +60,18 @@
         return False
     window = limits.windows_by_token.get(token)
     if window is None:
-        window = make_window(limits, now, token, share)
+        window = make_window(limits, token)
         limits.windows_by_token[token] = window
     return has_whole_room(window, now, share) or is_due(window, now, share)
 
 
-def make_window(
-    limits: ColdLimits, now: float, token: int, share: float
-) -> ColdWindow:
+def make_window(limits: ColdLimits, token: int) -> ColdWindow:
     """Return the window of a server that has just become cold.
 
-    The first opening of a fractional share is due within one interval, by a
-    hash, so that the balancers spread over it.
+    A hash decides the phase, so that the balancers spread over an interval.
     """
-    fraction = fraction_of(share)
     point = xxhash.xxh3_64_intdigest(f'{limits.name}/{token}'.encode())
-    wait = point / HASH_RANGE / fraction if fraction else math.inf
-    return ColdWindow(now + wait)
+    return ColdWindow(point / HASH_RANGE)
 
 
 def has_whole_room(window: ColdWindow, now: float, share: float) -> bool:
@@ -91,13 +86,14 @@
     """Return whether an opening of the fractional part is due.
 
     Forfeits those that were due long ago. After a change of the share, the one
-    that is due next stays due.
+    that is due next stays due. All balancers learn of a fractional part at
+    about the same time, so each begins at its phase.
     """
     fraction = fraction_of(share)
     if not fraction:
         return False
     if math.isinf(window.due):
-        window.due = now + 1 / fraction
+        window.due = now + window.phase / fraction
     late = now - window.due - COLD_OPENING_PERIOD.total_seconds()
     if late >= 0:
         window.due += (math.floor(late * fraction) + 1) / fraction
--- a/src/mustardhold/tables/cold_limit.py
+++ b/src/mustardhold/tables/cold_limit.py
@@ -10,14 +10,18 @@
 
     Attributes
     ----------
+    phase
+        Part of an interval that passes before the first opening of the
+        fractional part of the share is due, from 0 to 1.
     due
-        When the next opening of the fractional part of the share is due; local
-        clock, in seconds.
+        When the next opening of the fractional part is due; local clock, in
+        seconds; infinite before there was such a part.
     sent_at
         When the latest openings of the whole part of the share were sent.
     """
 
-    due: float
+    phase: float
+    due: float = float('inf')
     sent_at: deque[float] = field(default_factory=deque)
 
 
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -107,6 +107,23 @@
     assert busiest_second(sent) <= tolerated(10)
 
 
+@pytest.mark.parametrize(('limit', 'left'), [(30, 27), (40, 37)])
+def test_a_share_that_becomes_fractional_spreads_the_balancers(limit, left):
+    """Guards against balancers that all start to wait at the same time.
+
+    A share of one has no fractional part until the first balancers leave.
+    """
+    fleet = fleet_of(limit, limit)
+    sent = send_wherever_allowed(fleet, limit, [NOW])
+    del fleet[left:]
+    for limits in fleet:
+        limits.balancers = left
+    following = [time + 1 for time in times_from(NOW)]
+    following += [time + SECONDS for time in following]
+    sent += send_wherever_allowed(fleet, limit, following)
+    assert busiest_second(sent) <= tolerated(limit)
+
+
 def tables_of(warm, cold, limit, balancers):
     tables = ForwardingTables(last_feed_at=NOW)
     tables.cold_limits = ColdLimits('b-1', balancers)
