Tell no number of balancers from a minority of the control instances

Cause: an instance that was cut off counted the balancers on its own side, and told these that number. Change: the number is known only to an instance that hears most of its group. Three cases of the new test failed before the change.

--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -29,7 +29,11 @@
 from mustardhold.daemons.report_logs import log_report
 from mustardhold.systems import consensus
 from mustardhold.systems.election import majority_size
-from mustardhold.systems.fleet_count import count_fleet, count_followers
+from mustardhold.systems.fleet_count import (
+    count_fleet,
+    count_followers,
+    hears_majority,
+)
 from mustardhold.systems.histograms import REPORT_SECONDS, observe
 from mustardhold.systems.liveness import receive_report
 from mustardhold.tables.constants import (
@@ -132,14 +136,19 @@
 def known_balancers(
     fleet: FleetCount, feed: FeedPublisher, client: FeedClient
 ) -> int:
-    """Return the number of balancers; 0 until they had time to poll."""
+    """Return the number of balancers, or 0 if it is not known.
+
+    It is known once the balancers had time to poll, and while this instance
+    hears a majority of the group.
+    """
     now = feed.clock.monotonic()
     followers = count_followers(feed.watchers_by_name.values())
     count = count_fleet(
         fleet, now, followers, client.sources_by_address.values()
     )
     is_settled = now - feed.started_at > SETTLING_PERIOD.total_seconds()
-    return count if is_settled else 0
+    is_complete = hears_majority(feed.controls(), client.sources_by_address)
+    return count if is_settled and is_complete else 0
 
 
 def handle_applied(
--- a/src/mustardhold/systems/fleet_count.py
+++ b/src/mustardhold/systems/fleet_count.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Container, Iterable
 
 from mustardhold.tables.constants import (
     BALANCER_COUNT_PERIOD,
@@ -54,6 +54,23 @@
     return math.ceil(max(fleet.highest, fleet.previous) - ROUNDING)
 
 
+def hears_majority(
+    controls: Collection[str], heard_addresses: Container[str]
+) -> bool:
+    """Return whether a control instance hears most of its group, with itself.
+
+    One that is cut off counts only the balancers on its side. If it told them
+    that number, both sides together would send up to twice the limit.
+
+    Parameters
+    ----------
+    controls
+        Addresses of the group, its own among them.
+    """
+    heard = 1 + sum(address in heard_addresses for address in controls)
+    return 2 * heard > len(controls)
+
+
 def newest_count(sources: Iterable[FeedSource], previous: float) -> float:
     """Return the number that the most up-to-date source knows.
 
--- a/tests/test_fleet_count.py
+++ b/tests/test_fleet_count.py
@@ -1,18 +1,24 @@
 """The number of balancers, counted by control instances through a tree."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
+from mustardhold.daemons.feed_publisher import FeedPublisher
+from mustardhold.daemons.registry_state import known_balancers
 from mustardhold.systems.fleet_count import (
     count_fleet,
     count_followers,
     newest_count,
     part_for_source,
 )
-from mustardhold.tables.constants import BALANCER_COUNT_PERIOD
+from mustardhold.tables.configurations import NO_DOCUMENT
+from mustardhold.tables.constants import BALANCER_COUNT_PERIOD, SETTLING_PERIOD
+from mustardhold.tables.directory import Directory
 from mustardhold.tables.feed import FeedSource, Watcher
 from mustardhold.tables.fleet_count import FleetCount
+from tools.fakes.clock import FakeClock
 
 PERIOD = BALANCER_COUNT_PERIOD.total_seconds()
 
@@ -66,3 +72,26 @@
     assert newest_count([relay, control, starting], 5) == 60
     assert newest_count([starting], 5) == 5
     assert newest_count([], 0) == 0
+
+
+@pytest.mark.parametrize(
+    ('heard', 'expected'),
+    [((), 0), (('c2', 'c3'), 0), (('c2', 'c3', 'c4'), 40), (('c2', 'x'), 0)],
+)
+def test_a_minority_of_the_control_instances_knows_no_number(heard, expected):
+    """Guards against two sides of a cut that each use the whole limit."""
+    clock = FakeClock(0)
+    feed = FeedPublisher(
+        'run',
+        Directory(),
+        lambda: NO_DOCUMENT,
+        clock.monotonic,
+        lambda: ('c1', 'c2', 'c3', 'c4', 'c5', 'c6'),
+        clock,
+        9,
+    )
+    feed.watchers_by_name['b-1'] = Watcher(balancers=10)
+    sources = {address: FeedSource(balancers=10) for address in heard}
+    client = SimpleNamespace(sources_by_address=sources)
+    clock.seconds += SETTLING_PERIOD.total_seconds() + 1
+    assert known_balancers(FleetCount(), feed, client) == expected
