Drop evidence that a suspended balancer would post late

Cause: a collector dates evidence by its arrival. A balancer that was suspended posted what it had seen before as if it were new, and went on to the next collector with a post whose first try had timed out meanwhile. Change: bad evidence is dropped if none was taken for longer than the longest pause between posts, and a post is given up once the time of all its tries has passed; both count as lost.

--- a/src/mustardhold/daemons/evidence_posts.py
+++ b/src/mustardhold/daemons/evidence_posts.py
@@ -13,7 +13,7 @@
     HttpRequest,
     send_request,
 )
-from mustardhold.systems.answer_counts import take_evidence
+from mustardhold.systems.answer_counts import reset_outcomes, take_evidence
 from mustardhold.systems.answer_tracking import check_due
 from mustardhold.systems.feed_tree import rendezvous_rank
 from mustardhold.tables.answer_tracking import AnswerTracking
@@ -33,6 +33,7 @@
 )
 
 MILLISECONDS = 1000
+LONGEST_POST_SECONDS = EVIDENCE_TRIES * EVIDENCE_TIMEOUT.total_seconds()
 
 _reply_decoder = msgspec.json.Decoder(EvidenceReply)
 
@@ -51,6 +52,9 @@
         When an address last failed; local clock, in seconds.
     next_at
         When the next post for a service may be sent, by service.
+    taken_at
+        When evidence was last taken; local clock, in seconds. Infinite before
+        the first time.
     """
 
     reporter: str
@@ -61,6 +65,7 @@
     counters: Counter[tuple[str, str]]
     failed_at: dict[str, float] = field(default_factory=dict)
     next_at: dict[str, float] = field(default_factory=dict)
+    taken_at: float = float('inf')
 
 
 async def check_answers_periodically(
@@ -91,24 +96,42 @@
     No other post of a service is sent while one may be in progress.
     """
     now = poster.clock.monotonic()
-    longest = EVIDENCE_TRIES * EVIDENCE_TIMEOUT.total_seconds()
+    if now - poster.taken_at > EVIDENCE_MAX_PAUSE.total_seconds():
+        drop_bad_evidence(poster, now)
+    poster.taken_at = now
     due: list[EvidencePost] = []
     for name, service in poster.tracking.services_by_name.items():
         if now >= poster.next_at.get(name, now):
             post = take_evidence(service, now, poster.reporter)
             if post is not None:
                 due.append(post)
-                poster.next_at[name] = now + longest
+                poster.next_at[name] = now + LONGEST_POST_SECONDS
     return due
 
 
+def drop_bad_evidence(poster: EvidencePoster, now: float) -> None:
+    """Drop what was seen before the process was suspended.
+
+    A collector dates evidence by its arrival, so servers that have recovered
+    would become suspect.
+    """
+    for service in poster.tracking.services_by_name.values():
+        if service.has_bad:
+            reset_outcomes(service, now)
+            poster.counters['evidence', 'lost'] += 1
+
+
 async def post_evidence(poster: EvidencePoster, post: EvidencePost) -> None:
     """Send a post to the first collector that accepts it.
 
-    Evidence is dropped if none does: it would be outdated by the next try.
+    Evidence is dropped if none does: it would be outdated by the next try. The
+    same holds if the process was suspended since the first try.
     """
     body = msgspec.json.encode(post)
+    expires_at = poster.clock.monotonic() + LONGEST_POST_SECONDS
     for address in rank_collectors(poster, post.service):
+        if poster.clock.monotonic() > expires_at:
+            break
         request = HttpRequest('POST', address, EVIDENCE_PATH, body)
         response = await send_request(
             poster.http_client, request, EVIDENCE_TIMEOUT.total_seconds()
--- a/tests/test_evidence_daemons.py
+++ b/tests/test_evidence_daemons.py
@@ -1,5 +1,6 @@
 """Tests the way of evidence to a collector, and of suspicions back."""
 
+import json
 import logging
 from collections import Counter
 
@@ -88,6 +89,30 @@
     assert poster.counters['evidence', 'lost'] == 1
 
 
+async def test_suspended_balancer_posts_what_it_saw_before(monkeypatch):
+    """Guards against evidence that is counted long after it was seen."""
+    poster, service, asked = make_poster(monkeypatch, CONTROLS)
+    see(service, late=0)
+    assert not take_due(poster)
+    see(service, late=2)
+    poster.clock.seconds += 5
+    assert not take_due(poster)
+    see(service, late=2)
+    poster.clock.seconds += 0.2
+    (post,) = take_due(poster)
+    assert post.age_ms == 200
+    send = evidence_posts.send_request
+
+    async def suspend(*args):
+        poster.clock.seconds += 5
+        return await send(*args)
+
+    monkeypatch.setattr(evidence_posts, 'send_request', suspend)
+    await post_evidence(poster, post)
+    assert len(asked) == 1
+    assert poster.counters['evidence', 'lost'] == 2
+
+
 async def test_posts_without_bad_news_or_within_the_pause(monkeypatch):
     poster, service, _ = make_poster(monkeypatch, set())
     see(service, late=0)
@@ -133,7 +158,7 @@
         b'[]',
         b'{"reporter":"b"}',
         *(
-            msgspec.json.encode(POST | changes)
+            json.dumps(POST | changes).encode()
             for changes in (
                 {'servers': [[1, -1, 0, 0]]},
                 {'servers': POST['servers'] * 600},
