Refuse evidence of a load that no balancer can have

Cause: busy_ms had no upper bound. 10**20 made the sum of the loads lose those of all other balancers, so that one that lies turned off the limit by idle slots; 10**400 raised OverflowError in the handler. Change: more than 10**12 ms is malformed. Result: both bodies were accepted by the test before, and get 400 now.

--- a/src/mustardhold/tables/server_evidence.py
+++ b/src/mustardhold/tables/server_evidence.py
@@ -17,6 +17,9 @@
 # than it takes to see one, or the share of bad ones would look too large.
 MAX_EVIDENCE_SECONDS: Final = 30.0
 
+# More than any balancer can see; sums of such loads are still exact enough.
+MAX_BUSY_MS: Final = 10**12
+
 OutcomeCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 EvidenceName = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 
@@ -53,7 +56,7 @@
     reporter: EvidenceName
     service: EvidenceName
     age_ms: int
-    busy_ms: Annotated[int, msgspec.Meta(ge=0)]
+    busy_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_BUSY_MS)]
     servers: Annotated[
         tuple[ServerEvidence, ...], msgspec.Meta(max_length=MAX_POSTED_SERVERS)
     ]
--- a/tests/test_evidence_daemons.py
+++ b/tests/test_evidence_daemons.py
@@ -164,6 +164,9 @@
                 {'servers': POST['servers'] * 600},
                 {'reporter': ''},
                 {'busy_ms': -1},
+                # Sums of floats that large lose the loads of the others.
+                {'busy_ms': 10**20},
+                {'busy_ms': 10**400},
                 {'more': 1},
             )
         ),
