Choose servers by the requests in progress

A balancer sends an opening to two servers by a hash of the flow, whether they are idle or have requests queued, so requests behind a long one are late.

Each balancer now prefers 6 servers of its data centre, and another 6 of all data centres, counts the requests in flight and the recent openings of its own flows at each server, and sends a first opening to the least loaded ones. More servers are considered only while the preferred ones are loaded. It applies to services whose routes all have a target latency, unless the settings say `chooses_by_load: false`.

read_balancer_options passed `shares_evidence` by position as the share of hedged openings: `shares_evidence: false` sent every first opening to one server, and the balancer still reported and avoided suspect servers.

--- a/src/mustardhold/daemons/decision_logs.py
+++ b/src/mustardhold/daemons/decision_logs.py
@@ -8,6 +8,7 @@
 
 from mustardhold.adapters.logs import is_line_allowed
 from mustardhold.systems.addresses import format_address
+from mustardhold.systems.load_choice import describe_loads
 from mustardhold.systems.opening_admission import describe_refusal
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.forwarding import (
@@ -47,6 +48,7 @@
     match decision:
         case Forward(servers):
             extra['servers'] = [known.report.server_id for known in servers]
+            extra.update(describe_loads(tables, decision))
         case Hold():
             extra['token'] = packet.token
         case Reset(cause) | Drop(cause):
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -36,21 +36,18 @@
 from mustardhold.daemons.token_tables import handle_feed_reply, install_document
 from mustardhold.systems.draining import Drain, is_drained
 from mustardhold.systems.fleet_count import count_followers
+from mustardhold.systems.forwarding_setup import make_tables
 from mustardhold.systems.link_queue import (
     is_empty,
     make_link_queue,
 )
 from mustardhold.systems.liveness import forget_silent_servers
-from mustardhold.systems.opening_admission import (
-    make_overload_control,
-)
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.constants import (
     DRAIN_CHECK_INTERVAL,
     FEED_WATCHERS_PER_BALANCER,
     WATCHED_CONTROLS,
 )
-from mustardhold.tables.forwarding import ForwardingTables
 from mustardhold.tables.options import TokenBalancerOptions
 
 
@@ -61,12 +58,7 @@
     log: logging.Logger,
 ) -> TokenBalancer:
     """Open the socket for packets, and start with empty tables."""
-    tables = ForwardingTables(
-        options.data_centre,
-        opening_hedge_share=options.opening_hedge_share,
-        avoids_suspects=options.shares_evidence,
-    )
-    tables.cold_limits.name = options.instance_id
+    tables = make_tables(options)
     feed_client = FeedClient(
         WatcherIdentity(
             options.instance_id,
@@ -112,7 +104,6 @@
         feed,
         ErrorReporter(log, tables.counters),
     )
-    tables.overload = make_overload_control(options)
     queue = make_link_queue(options.link_bytes_per_second, tables)
     if queue is not None:
         balancer.link = LinkSender(
--- a/src/mustardhold/daemons/token_metrics.py
+++ b/src/mustardhold/daemons/token_metrics.py
@@ -5,6 +5,7 @@
 from mustardhold.systems.control_gauges import evacuation_gauge
 from mustardhold.systems.link_queue import make_link_gauges
 from mustardhold.systems.opening_admission import make_admission_gauges
+from mustardhold.systems.server_load import make_load_gauges
 from mustardhold.systems.suspicions import suspect_tokens
 from mustardhold.systems.token_forwarding import configuration_version
 from mustardhold.tables.directory import ServerState
@@ -48,6 +49,7 @@
         ),
     ]
     gauges.extend(make_admission_gauges(tables))
+    gauges.extend(make_load_gauges(tables.answers.load))
     if balancer.link is not None:
         gauges.extend(make_link_gauges(balancer.link.queue))
     return MetricsSnapshot(
--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -300,6 +300,7 @@
                 targets_of(route),
                 route.priority,
                 timedelta(milliseconds=route.target_latency_ms),
+                timedelta(milliseconds=route.timeout_ms),
             )
     limits = {
         service.name: ServiceLimits(service.name, service.cold_per_s)
--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -80,6 +80,8 @@
     shares_evidence
         Whether balancers report servers that answer badly, and avoid suspect
         ones.
+    chooses_by_load
+        Whether balancers choose servers by the requests in progress.
     """
 
     ip_address: str
@@ -95,6 +97,7 @@
     bounds: Bounds = Bounds()
     limits: InstanceLimits = InstanceLimits()
     shares_evidence: bool = True
+    chooses_by_load: bool = True
     zones: object = None
 
 
@@ -186,5 +189,6 @@
         control_addresses(settings),
         timedelta(seconds=settings.bounds.grace_period_s),
         max(settings.limits.link_mbps, 0) * BYTES_PER_MEGABIT,
-        settings.shares_evidence,
+        shares_evidence=settings.shares_evidence,
+        chooses_by_load=settings.chooses_by_load,
     )
--- a/src/mustardhold/systems/answer_counts.py
+++ b/src/mustardhold/systems/answer_counts.py
@@ -3,17 +3,22 @@
 from collections.abc import Iterator
 from operator import attrgetter
 
+from mustardhold.systems.server_load import limit_request
 from mustardhold.tables.answer_tracking import (
     MAX_BEGUN_PER_SLICE,
+    MAX_TRACKED_ROUTES,
     MAX_TRACKED_SERVERS,
+    MAX_TRACKED_SERVICES,
     SLICE_SECONDS,
     SLICES_PER_WINDOW,
     AnswerSlice,
     AnswerTracking,
     RecentAnswers,
+    RouteAnswers,
     ServerOutcomes,
     ServiceAnswers,
 )
+from mustardhold.tables.configurations import ServiceRoute
 from mustardhold.tables.server_evidence import (
     MAX_EVIDENCE_SECONDS,
     MAX_POSTED_SERVERS,
@@ -25,6 +30,38 @@
 MILLISECONDS = 1000
 
 
+def track_service(
+    tracking: AnswerTracking, now: float, name: str
+) -> ServiceAnswers | None:
+    """Return the state of a service; None if the table is full."""
+    services = tracking.services_by_name
+    service = services.get(name)
+    if service is None and len(services) < MAX_TRACKED_SERVICES:
+        service = ServiceAnswers(name, now)
+        services[name] = service
+    return service
+
+
+def track_route(
+    tracking: AnswerTracking, route: ServiceRoute
+) -> RouteAnswers | None:
+    """Return the state of a route, with its current target latency."""
+    routes = tracking.routes_by_name
+    known = routes.get(route.name)
+    if known is None:
+        if len(routes) >= MAX_TRACKED_ROUTES:
+            return None
+        known = RouteAnswers()
+        routes[route.name] = known
+    if known.target_latency is not route.target_latency:
+        known.target_latency = route.target_latency
+        known.target_seconds = route.target_latency.total_seconds()
+    if known.timeout is not route.timeout or not known.in_flight_seconds:
+        known.timeout = route.timeout
+        known.in_flight_seconds = limit_request(route.timeout)
+    return known
+
+
 def count_begun(service: ServiceAnswers, now: float, token: int) -> bool:
     """Count a request that began; return whether to track it."""
     current = current_slice(service, now)
--- a/src/mustardhold/systems/answer_tracking.py
+++ b/src/mustardhold/systems/answer_tracking.py
@@ -14,15 +14,17 @@
     count_answer,
     count_begun,
     outcomes_of,
+    track_route,
+    track_service,
+)
+from mustardhold.systems.server_load import (
+    begin_in_flight,
+    end_in_flight,
 )
 from mustardhold.tables.answer_tracking import (
     MAX_TRACKED_FLOWS,
-    MAX_TRACKED_ROUTES,
-    MAX_TRACKED_SERVICES,
     AnswerTracking,
     RequestPhase,
-    RouteAnswers,
-    ServiceAnswers,
     TrackedFlow,
 )
 from mustardhold.tables.configurations import ServiceRoute
@@ -71,7 +73,7 @@
         start_tracking(tracking, now, packet, server, route)
         return
     if packet.is_reset:
-        tracking.flows_by_key.pop(packet.flow)
+        stop_tracking(tracking, packet.flow)
         return
     advance = (packet.acknowledged - flow.acknowledged) & SEQUENCE_MASK
     if advance and advance < HALF_SEQUENCE:
@@ -79,12 +81,25 @@
         if flow.phase is ANSWERING:
             flow.answered_at = now
         elif flow.phase is WAITING:
+            end_request(tracking, packet.flow)
             record_first_bytes(tracking, now, flow)
     if packet.length:
         record_payload(tracking, now, packet, flow, server.token)
     elif packet.is_closing:
         complete_answer(flow)
-        tracking.flows_by_key.pop(packet.flow)
+        stop_tracking(tracking, packet.flow)
+
+
+def stop_tracking(tracking: AnswerTracking, key: bytes) -> TrackedFlow:
+    """Remove a flow, and its request if it is in flight."""
+    end_request(tracking, key)
+    return tracking.flows_by_key.pop(key)
+
+
+def end_request(tracking: AnswerTracking, key: bytes) -> None:
+    """Count the request of a flow as in flight no more."""
+    if tracking.load is not None:
+        end_in_flight(tracking.load, key)
 
 
 def start_tracking(
@@ -105,7 +120,7 @@
     if not count_begun(service, now, server.token):
         return
     if len(tracking.flows_by_key) >= MAX_TRACKED_FLOWS:
-        oldest = tracking.flows_by_key.pop(next(iter(tracking.flows_by_key)))
+        oldest = stop_tracking(tracking, next(iter(tracking.flows_by_key)))
         tracking.untracked += oldest.phase is WAITING
     end = (packet.sequence + packet.length) & SEQUENCE_MASK
     tracked = TrackedFlow(
@@ -115,35 +130,6 @@
     begin_request(tracking, now, packet.flow, tracked)
 
 
-def track_service(
-    tracking: AnswerTracking, now: float, name: str
-) -> ServiceAnswers | None:
-    """Return the state of a service; None if the table is full."""
-    services = tracking.services_by_name
-    service = services.get(name)
-    if service is None and len(services) < MAX_TRACKED_SERVICES:
-        service = ServiceAnswers(name, now)
-        services[name] = service
-    return service
-
-
-def track_route(
-    tracking: AnswerTracking, route: ServiceRoute
-) -> RouteAnswers | None:
-    """Return the state of a route, with its current target latency."""
-    routes = tracking.routes_by_name
-    known = routes.get(route.name)
-    if known is None:
-        if len(routes) >= MAX_TRACKED_ROUTES:
-            return None
-        known = RouteAnswers()
-        routes[route.name] = known
-    if known.target_latency is not route.target_latency:
-        known.target_latency = route.target_latency
-        known.target_seconds = route.target_latency.total_seconds()
-    return known
-
-
 def begin_request(
     tracking: AnswerTracking, now: float, key: bytes, flow: TrackedFlow
 ) -> None:
@@ -152,6 +138,9 @@
     flow.is_late = False
     flow.requested_at = now
     flow.acknowledged_before = flow.acknowledged
+    if tracking.load is not None:
+        seconds = flow.route.in_flight_seconds
+        begin_in_flight(tracking.load, now, key, flow.token, seconds)
     if not flow.is_scheduled:
         schedule_check(tracking, now + flow.route.target_seconds, key, flow)
 
@@ -191,6 +180,7 @@
     elif is_new:
         complete_answer(flow)
         if not count_begun(flow.service, now, token):
+            end_request(tracking, packet.flow)
             return
         flow.token = token
         # Moves the flow to the end of the mapping, after earlier requests.
@@ -258,6 +248,7 @@
         flow.is_scheduled = False
         if is_suspended:
             flow.phase = IDLE
+            end_request(tracking, key)
             continue
         next_at = check_flow(flow, now)
         if next_at is not None:
--- /dev/null
+++ b/src/mustardhold/systems/load_choice.py
@@ -0,0 +1,243 @@
+"""Chooses the servers of an opening by the load that this balancer sees.
+
+A balancer sees the requests of its own flows only, a few percent of those of a
+service. So each balancer prefers a few servers, of whose load it sees a large
+part. More servers are considered only while the preferred ones are loaded.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
+from typing import NamedTuple
+
+from mustardhold.systems.outlier_avoidance import is_avoided
+from mustardhold.systems.server_load import expire_load, load_of
+from mustardhold.systems.server_ranking import distance, rank_servers
+from mustardhold.systems.service_routes import timed_routes_by_service
+from mustardhold.tables.constants import OPENING_ANSWER_TIMEOUT
+from mustardhold.tables.directory import KnownServer
+from mustardhold.tables.forwarding import Forward, ForwardingTables
+from mustardhold.tables.server_load import ServerLoad
+from mustardhold.tables.server_ranking import (
+    PreferredServers,
+    ServerRanking,
+    ServiceServers,
+    WeightedServer,
+)
+
+# With fewer, one long request leaves too little choice; with more, a balancer
+# sees too small a part of the load of each.
+PREFERRED_SERVERS = 6
+ADDED_SERVERS = 4
+
+
+class RatedServer(NamedTuple):
+    """A candidate; those with less load come first."""
+
+    load: float
+    distance: float
+    token: int
+    member: WeightedServer
+
+
+def prefer_servers(
+    tables: ForwardingTables,
+    service: str,
+    everywhere: ServerRanking,
+    local: ServerRanking,
+) -> PreferredServers | None:
+    """Return the servers that this balancer prefers.
+
+    Returns
+    -------
+    PreferredServers or None
+        None if the servers of the service are not chosen by their load.
+    """
+    load, configuration = tables.answers.load, tables.configuration
+    if load is None or configuration is None:
+        return None
+    if load.version != configuration.version:
+        load.version = configuration.version
+        load.services = frozenset(timed_routes_by_service(configuration))
+    if service not in load.services:
+        return None
+    members = tuple(members_of(everywhere))
+    return PreferredServers(
+        nearest_members(tables.name, members_of(local)),
+        nearest_members(tables.name, members),
+        {member.server.token: member for member in members},
+    )
+
+
+def members_of(ranking: ServerRanking) -> Iterator[WeightedServer]:
+    """Yield the servers of a ranking."""
+    for group in ranking.groups:
+        yield from group.members
+
+
+def nearest_members(
+    name: str, members: Iterable[WeightedServer]
+) -> tuple[WeightedServer, ...]:
+    """Return the first servers in a balancer's order.
+
+    A slow start changes no order, so that a balancer keeps its servers.
+    """
+    key = name.encode()
+
+    def distance_of(member: WeightedServer) -> float:
+        return distance(key, member.key, member.server.report.slots)
+
+    return tuple(sorted(members, key=distance_of)[:PREFERRED_SERVERS])
+
+
+def choose_by_load(
+    tables: ForwardingTables,
+    now: float,
+    servers: ServiceServers,
+    flow: bytes,
+    *,
+    is_local: bool,
+) -> list[KnownServer]:
+    """Return servers for a first opening, those with the least load first.
+
+    Parameters
+    ----------
+    is_local
+        Whether the flow is within the local data centre's share.
+
+    Returns
+    -------
+    list
+        The servers considered; empty if all of them are avoided, or if those of
+        this service are not chosen by load.
+    """
+    load, preferred = tables.answers.load, servers.preferred
+    if load is None or preferred is None:
+        return []
+    expire_load(load, now)
+    subset = preferred.local if is_local else preferred.everywhere
+    ranked = sorted(rate_members(load, skip_avoided(tables, now, subset), flow))
+    extent = 'preferred'
+    for name, ranking, is_loaded in (
+        ('overflow', servers.local, has_requests),
+        ('remote', servers.everywhere, is_full),
+    ):
+        if len(ranked) > 1 and not is_loaded(load, ranked[1]):
+            break
+        others = find_others(tables, now, ranking, flow, ranked)
+        added = [preferred.members_by_token[one.token] for one in others]
+        if added:
+            extent = name
+            ranked = sorted((*ranked, *rate_members(load, added, flow)))
+    return count_choice(tables, extent, ranked)
+
+
+def count_choice(
+    tables: ForwardingTables, extent: str, ranked: Sequence[RatedServer]
+) -> list[KnownServer]:
+    """Count which servers were considered, and return them."""
+    chosen = [one.member.server for one in ranked]
+    if chosen:
+        service = chosen[0].report.service
+        tables.counters[service, f'opened-{extent}'] += 1
+    return chosen
+
+
+def skip_avoided(
+    tables: ForwardingTables, now: float, members: Iterable[WeightedServer]
+) -> Iterator[WeightedServer]:
+    """Yield the servers that are not avoided."""
+    return (one for one in members if not is_avoided(tables, now, one.server))
+
+
+def rate_members(
+    load: ServerLoad, members: Iterable[WeightedServer], flow: bytes
+) -> Iterator[RatedServer]:
+    """Yield servers with their loads, and their distances to break ties."""
+    for one in members:
+        yield RatedServer(
+            load_of(load, one),
+            distance(flow, one.key, one.weight),
+            one.server.token,
+            one,
+        )
+
+
+def has_requests(load: ServerLoad, rated: RatedServer) -> bool:
+    """Return whether a server has any request in flight."""
+    return rated.token in load.requests_by_token
+
+
+def is_full(load: ServerLoad, rated: RatedServer) -> bool:
+    """Return whether a server has a request in flight for each of its slots."""
+    requests = load.requests_by_token.get(rated.token, 0)
+    return requests >= rated.member.server.report.slots
+
+
+def find_others(
+    tables: ForwardingTables,
+    now: float,
+    ranking: ServerRanking,
+    flow: bytes,
+    ranked: Iterable[RatedServer],
+) -> Iterator[KnownServer]:
+    """Yield a few servers that are not ranked yet, in the flow's order."""
+    known = {one.token for one in ranked}
+    others = (
+        server
+        for server in rank_servers(ranking, flow)
+        if server.token not in known and not is_avoided(tables, now, server)
+    )
+    return islice(others, ADDED_SERVERS)
+
+
+def servers_of_duplicate(
+    tables: ForwardingTables,
+    now: float,
+    preferred: PreferredServers,
+    flow: bytes,
+    attempt: int,
+) -> list[KnownServer]:
+    """Return the servers of an opening that has just been sent already."""
+    opening = tables.openings_by_flow.get(flow)
+    if opening is None or opening.attempt != attempt:
+        return []
+    if now - opening.sent_at > OPENING_ANSWER_TIMEOUT.total_seconds():
+        return []
+    members = (
+        preferred.members_by_token.get(token) for token in opening.tokens
+    )
+    return [
+        one.server
+        for one in members
+        if one is not None and not is_avoided(tables, now, one.server)
+    ]
+
+
+def tokens_before(
+    tables: ForwardingTables, servers: ServiceServers, flow: bytes, attempt: int
+) -> tuple[int, ...]:
+    """Return the servers of the attempt before, as far as they are known."""
+    opening = tables.openings_by_flow.get(flow)
+    if servers.preferred is None or opening is None:
+        return ()
+    return opening.tokens if opening.attempt < attempt else ()
+
+
+def describe_loads(
+    tables: ForwardingTables, decision: Forward
+) -> dict[str, list[float]]:
+    """Return the loads of the servers of an opening, which they include."""
+    load = tables.answers.load
+    prepared = tables.index.prepared_by_service.get(decision.service)
+    if load is None or prepared is None or prepared.preferred is None:
+        return {}
+    members = (
+        prepared.preferred.members_by_token.get(server.token)
+        for server in decision.servers
+    )
+    return {
+        'loads': [
+            0 if member is None else round(load_of(load, member), 2)
+            for member in members
+        ]
+    }
--- a/src/mustardhold/systems/opening_admission.py
+++ b/src/mustardhold/systems/opening_admission.py
@@ -5,12 +5,12 @@
 can be told.
 """
 
-from collections import defaultdict
 from collections.abc import Iterator
 from typing import Any
 
 from mustardhold.systems.answer_counts import recent_answers
 from mustardhold.systems.overload_control import is_admitted
+from mustardhold.systems.service_routes import timed_routes_by_service
 from mustardhold.tables.configurations import (
     REPEATABLE_KINDS,
     Configuration,
@@ -81,15 +81,10 @@
 
 def controlled_services(configuration: Configuration) -> frozenset[str]:
     """Return the services whose routes differ and have target latencies."""
-    routes_by_service = defaultdict[str, list[ServiceRoute]](list)
-    for route in configuration.routes_by_address.values():
-        for target in route.targets:
-            routes_by_service[target.service].append(route)
     return frozenset(
         service
-        for service, routes in routes_by_service.items()
-        if all(route.target_latency for route in routes)
-        and len({(route.priority, route.kind) for route in routes}) > 1
+        for service, routes in timed_routes_by_service(configuration).items()
+        if len({(route.priority, route.kind) for route in routes}) > 1
     )
 
 
--- a/src/mustardhold/systems/outlier_avoidance.py
+++ b/src/mustardhold/systems/outlier_avoidance.py
@@ -7,6 +7,7 @@
 """
 
 from mustardhold.systems.answer_counts import count_unanswered_opening
+from mustardhold.systems.server_load import count_opening
 from mustardhold.systems.suspicions import is_suspect, suspect_tokens
 from mustardhold.tables.constants import (
     AVOID_AFTER_UNANSWERED,
@@ -36,6 +37,9 @@
     if previous is not None:
         opening.first_sent_at = previous.first_sent_at
     tables.openings_by_flow[flow] = opening
+    is_duplicate = previous is not None and previous.attempt == opening.attempt
+    if tables.answers.load is not None and not is_duplicate:
+        count_opening(tables.answers.load, opening.sent_at, opening.tokens)
     tables.pending_openings.append((opening.sent_at, flow))
 
 
--- a/src/mustardhold/tables/answer_tracking.py
+++ b/src/mustardhold/tables/answer_tracking.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from mustardhold.tables.server_load import ServerLoad
+
 MAX_TRACKED_FLOWS: Final = 8_192
 MAX_TRACKED_SERVICES: Final = 1_024
 MAX_TRACKED_ROUTES: Final = 4_096
@@ -130,10 +132,14 @@
         Number of complete answers seen.
     usual_bytes
         Moving average of their length.
+    in_flight_seconds
+        For how long a request counts as in flight at most.
     """
 
     target_latency: timedelta = timedelta()
+    timeout: timedelta = timedelta()
     target_seconds: float = 0
+    in_flight_seconds: float = 0
     answers: int = 0
     usual_bytes: float = 0
 
@@ -190,6 +196,9 @@
         Infinite before the first check.
     untracked
         Requests that were evicted or not tracked because a table was full.
+    load
+        Requests in flight by server; ``None`` if servers are not chosen by
+        load.
     """
 
     flows_by_key: dict[bytes, TrackedFlow] = field(default_factory=dict)
@@ -198,3 +207,4 @@
     routes_by_name: dict[str, RouteAnswers] = field(default_factory=dict)
     checked_at: float = float('inf')
     untracked: int = 0
+    load: ServerLoad | None = None
--- a/src/mustardhold/tables/configurations.py
+++ b/src/mustardhold/tables/configurations.py
@@ -64,6 +64,8 @@
         Importance of its requests; 0 is the highest.
     target_latency
         Time in which callers expect an answer; zero if it is not configured.
+    timeout
+        Time after which callers give up; zero if unknown.
     """
 
     name: str
@@ -72,6 +74,7 @@
     targets: tuple[WeightedService, ...]
     priority: int = 0
     target_latency: timedelta = timedelta()
+    timeout: timedelta = timedelta()
 
 
 class ServiceLimits(msgspec.Struct, frozen=True):
--- a/src/mustardhold/tables/forwarding.py
+++ b/src/mustardhold/tables/forwarding.py
@@ -236,6 +236,8 @@
         evacuation; ``NOT_STARTED`` before the first opening since its end.
     opening_hedge_share
         Share of the flows whose first opening goes to two servers at once.
+    name
+        The balancer's name, by which it prefers some servers.
     """
 
     data_centre: str = ''
@@ -268,3 +270,4 @@
     cold_limits: ColdLimits = field(default_factory=ColdLimits)
     opening_hedge_share: float = 1
     counters: Counter[tuple[str, str]] = field(default_factory=Counter)
+    name: str = ''
--- a/src/mustardhold/tables/options.py
+++ b/src/mustardhold/tables/options.py
@@ -122,6 +122,9 @@
         that the whole fleet's reports make suspect.
     controls_admission
         Whether openings are refused while a service is overloaded.
+    chooses_by_load
+        Whether servers are chosen by the requests in progress at them, as far
+        as the balancer sees them.
     """
 
     instance_id: Name
@@ -136,3 +139,4 @@
     opening_hedge_share: float = 1
     shares_evidence: bool = True
     controls_admission: bool = True
+    chooses_by_load: bool = True
--- /dev/null
+++ b/src/mustardhold/tables/server_load.py
@@ -0,0 +1,58 @@
+"""State of the load that a balancer's own flows put on the servers.
+
+It is bounded and may be lost: it only guides where new flows go.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+MAX_LOADED_SERVERS: Final = 4_096
+MAX_COUNTED_REQUESTS: Final = 8_192
+# A flow may move to another balancer, which then sees the answer.
+MAX_REQUEST_SECONDS: Final = 3.0
+
+
+class RequestInFlight(NamedTuple):
+    """A request without an answer yet, counted until a time in seconds."""
+
+    token: int
+    until: float
+
+
+class CountedOpening(NamedTuple):
+    """When an opening was sent, in seconds, and the servers it counts at."""
+
+    sent_at: float
+    tokens: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class ServerLoad:
+    """Requests in flight and recent openings, by the server's token.
+
+    Attributes
+    ----------
+    requests_by_flow
+        Requests without any byte of their answer, one for each flow.
+    requests_by_token, openings_by_token
+        Numbers of these requests and of the recent openings; only servers that
+        have any are included.
+    ends
+        Heap of the times until which requests are counted, each with its flow.
+        Entries stay after the answer.
+    recent_openings
+        Openings that count, oldest first.
+    version
+        Version of the configuration that ``services`` is derived from.
+    services
+        Services whose servers are chosen by their load.
+    """
+
+    requests_by_flow: dict[bytes, RequestInFlight] = field(default_factory=dict)
+    requests_by_token: dict[int, int] = field(default_factory=dict)
+    openings_by_token: dict[int, int] = field(default_factory=dict)
+    ends: list[tuple[float, bytes]] = field(default_factory=list)
+    recent_openings: deque[CountedOpening] = field(default_factory=deque)
+    version: int = 0
+    services: frozenset[str] = frozenset()
--- a/src/mustardhold/tables/server_ranking.py
+++ b/src/mustardhold/tables/server_ranking.py
@@ -59,6 +59,23 @@
     is_last_resort: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PreferredServers:
+    """Servers of a service that a balancer prefers, to see much of their load.
+
+    Attributes
+    ----------
+    local, everywhere
+        For flows within the local data centre's share, and for others.
+    members_by_token
+        All servers of the service that may get new flows.
+    """
+
+    local: tuple[WeightedServer, ...]
+    everywhere: tuple[WeightedServer, ...]
+    members_by_token: dict[int, WeightedServer]
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceServers:
     """Servers of one service that may get new flows.
@@ -74,6 +91,9 @@
     cold
         Cold servers that are limited, and left out above if there are others;
         ``None`` if there are none.
+    preferred
+        The ones that this balancer prefers; ``None`` if they are not chosen by
+        their load.
     """
 
     everywhere: ServerRanking
@@ -81,3 +101,4 @@
     local_tokens: frozenset[int]
     data_centres: int
     cold: ColdServers | None = None
+    preferred: PreferredServers | None = None
--- /dev/null
+++ b/tests/test_load_choice.py
@@ -0,0 +1,301 @@
+"""Tests the choice of servers by requests in flight, and their counting."""
+
+from collections import Counter
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from mustardhold.platform.settings import (
+    BindAddresses,
+    NodeSettings,
+    read_balancer_options,
+)
+from mustardhold.systems.answer_tracking import check_due
+from mustardhold.systems.directory import merge_report
+from mustardhold.systems.forwarding_setup import make_tables
+from mustardhold.systems.server_load import (
+    begin_in_flight,
+    count_opening,
+    expire_load,
+)
+from mustardhold.systems.service_servers import servers_of
+from mustardhold.systems.suspicions import suspect_until
+from mustardhold.systems.token_forwarding import (
+    decide_packet,
+    install_configuration,
+)
+from mustardhold.tables.configurations import (
+    Configuration,
+    RequestKind,
+    ServiceAddress,
+    ServiceRoute,
+    WeightedService,
+)
+from mustardhold.tables.directory import ServerReport, ServerState
+from mustardhold.tables.forwarding import (
+    FLOW_ADDRESSES,
+    CallerPacket,
+    Forward,
+    ForwardingTables,
+)
+from mustardhold.tables.server_load import MAX_LOADED_SERVERS, ServerLoad
+
+ADDRESS = ServiceAddress(1, 443)
+NOW = 10.0
+CENTRES = ('dc-1', 'dc-2', 'dc-3')
+
+
+def tables_of(count=60, name='b-1', *, is_on=True, **route_changes):
+    """Make tables with servers of 2 slots, a third in the local centre."""
+    tables = ForwardingTables('dc-1', last_feed_at=NOW, name=name)
+    tables.answers.load = ServerLoad() if is_on else None
+    route = ServiceRoute(
+        'lookups',
+        ADDRESS,
+        RequestKind.SAFE,
+        (WeightedService('shop', 1),),
+        target_latency=timedelta(milliseconds=500),
+        timeout=timedelta(milliseconds=2_500),
+    )
+    changed = msgspec.structs.replace(route, **route_changes)
+    install_configuration(tables, Configuration(1, {ADDRESS: changed}))
+    for number in range(count):
+        report = ServerReport(
+            f'i-{number}',
+            100,
+            1,
+            'shop',
+            f'10.0.0.{number}:80',
+            CENTRES[number % 3],
+            2,
+            ServerState.READY,
+        )
+        merge_report(tables.directory, NOW, report)
+    return tables
+
+
+def packet_of(port=1, attempt=0, **changes):
+    flow = FLOW_ADDRESSES.pack(ADDRESS.port, port, ADDRESS.ip, 2)
+    packet = CallerPacket(flow, ADDRESS, 0, 0, attempt, True, False)
+    return packet._replace(**changes)
+
+
+def open_flow(tables, port=1, now=NOW, attempt=0):
+    """Return the tokens that an opening is sent to."""
+    decision = decide_packet(tables, now, packet_of(port, attempt))
+    assert isinstance(decision, Forward)
+    return [one.token for one in decision.servers]
+
+
+def send(tables, token, now=NOW, port=1, **changes):
+    decide_packet(
+        tables, now, packet_of(port, token=token, is_opening=False, **changes)
+    )
+
+
+def subset_of(tables):
+    preferred = servers_of(tables, NOW, 'shop').preferred
+    return [member.server.token for member in preferred.local]
+
+
+def keep_busy(tables, tokens, requests=1, now=NOW):
+    for token in tokens:
+        for number in range(requests):
+            flow = b'busy %d %d' % (token, number)
+            begin_in_flight(tables.answers.load, now, flow, token, 3)
+
+
+def assert_idle(load):
+    assert not load.requests_by_flow
+    assert not load.requests_by_token
+
+
+def test_openings_leave_the_subset_or_its_idle_servers_are_passed_over():
+    for port in range(20):
+        tables = tables_of()
+        subset = subset_of(tables)
+        assert len(subset) == 6
+        keep_busy(tables, subset[2:])
+        assert set(open_flow(tables, port)) == set(subset[:2])
+        assert tables.counters['shop', 'opened-preferred'] == 1
+
+
+def test_balancers_prefer_the_same_servers_and_leave_others_unused():
+    counts = Counter()
+    for number in range(82):
+        counts.update(subset_of(tables_of(name=f'b-{number}')))
+    assert len(counts) == 20
+    # Five standard deviations of a fair draw around 82 x 6 / 20.
+    assert max(counts.values()) < 50
+
+
+@pytest.mark.parametrize(
+    ('requests', 'outcome'), [(1, 'opened-overflow'), (2, 'opened-remote')]
+)
+def test_loaded_subset_gets_openings_while_others_are_idle(requests, outcome):
+    tables = tables_of()
+    local = servers_of(tables, NOW, 'shop').local_tokens
+    keep_busy(tables, subset_of(tables) if requests == 1 else local, requests)
+    chosen = open_flow(tables)
+    assert not set(chosen) & set(subset_of(tables))
+    assert (set(chosen) <= local) is (requests == 1)
+    assert tables.counters['shop', outcome] == 1
+
+
+def test_avoided_subset_ends_the_choice_or_is_used():
+    tables = tables_of()
+    local = servers_of(tables, NOW, 'shop').local_tokens
+    suspicions = tables.directory.suspicions
+    for token in subset_of(tables):
+        suspect_until(suspicions, NOW - 1, token, NOW + 9)
+    for port in range(20):
+        chosen = set(open_flow(tables, port))
+        assert len(chosen) == 2
+        assert not chosen & set(subset_of(tables))
+    for token in tables.directory.servers_by_token:
+        suspect_until(suspicions, NOW - 1, token, NOW + 9)
+    assert len(open_flow(tables, 99)) == 2
+    assert local
+
+
+@pytest.mark.parametrize('state', ['off', 'no-target-latency'])
+def test_choice_changes_although_it_is_turned_off(state):
+    changes = {'target_latency': timedelta()} if state != 'off' else {}
+    off = tables_of(is_on=False, **changes)
+    tables = tables_of(is_on=state != 'off', **changes)
+    tables.name = 'another'
+    for port in range(200):
+        for attempt in range(3):
+            at = NOW + port / 50 + attempt / 5
+            chosen = open_flow(tables, port, at, attempt)
+            assert chosen == open_flow(off, port, at, attempt)
+    assert not any('opened-' in outcome for _, outcome in tables.counters)
+
+
+def test_duplicates_go_elsewhere_or_repeats_go_to_the_same_servers():
+    tables = tables_of()
+    first = open_flow(tables)
+    keep_busy(tables, first)
+    assert open_flow(tables, now=NOW + 0.05) == first
+    assert sum(tables.answers.load.openings_by_token.values()) == 2
+    second = open_flow(tables, now=NOW + 0.2, attempt=1)
+    assert open_flow(tables, now=NOW + 0.25, attempt=1) in (
+        second,
+        second[::-1],
+    )
+    third = open_flow(tables, now=NOW + 0.6, attempt=2)
+    assert not set(second) & {*first, *third}
+
+
+def test_only_wanted_server_is_not_the_least_loaded():
+    tables = tables_of()
+    tables.opening_hedge_share = 0
+    subset = subset_of(tables)
+    keep_busy(tables, subset[2:])
+    count_opening(tables.answers.load, NOW, (subset[1],))
+    assert open_flow(tables) == subset[:1]
+
+
+def end_by(tables, token, how):
+    """End the request of flow 1, which began at ``NOW``."""
+    if how == 'answer':
+        send(tables, token, NOW + 0.1, acknowledged=9)
+    elif how == 'closed':
+        send(tables, token, NOW + 0.1, is_closing=True)
+    elif how == 'reset':
+        send(tables, token, NOW + 0.1, is_reset=True)
+    elif how == 'evicted':
+        for port in range(2, 4):
+            send(tables, token, NOW + 0.1, port, length=50)
+            send(tables, token, NOW + 0.1, port, acknowledged=9)
+    elif how == 'suspended':
+        check_due(tables.answers, NOW)
+        check_due(tables.answers, NOW + 2)
+    elif how == 'server-gone':
+        tables.directory.servers_by_token.pop(token)
+        expire_load(tables.answers.load, NOW + 2.5)
+    else:
+        expire_load(tables.answers.load, NOW + 2.5)
+
+
+@pytest.mark.parametrize(
+    'how',
+    [
+        'answer',
+        'closed',
+        'reset',
+        'evicted',
+        'suspended',
+        'server-gone',
+        'timeout',
+    ],
+)
+def test_request_stays_counted_after_its_end(how, monkeypatch):
+    monkeypatch.setattr(
+        'mustardhold.systems.answer_tracking.MAX_TRACKED_FLOWS', 2
+    )
+    tables = tables_of()
+    load = tables.answers.load
+    token = next(iter(tables.directory.servers_by_token))
+    send(tables, token, length=50)
+    send(tables, token, NOW + 0.01, length=50)
+    assert load.requests_by_token == {token: 1}
+    end_by(tables, token, how)
+    assert_idle(load)
+    expire_load(load, NOW + 99)
+    assert_idle(load)
+    assert not load.ends
+
+
+def test_next_request_of_a_flow_counts_twice_or_ends_too_early():
+    tables = tables_of()
+    load = tables.answers.load
+    token = next(iter(tables.directory.servers_by_token))
+    for number in range(4):
+        now = NOW + number
+        place = {'sequence': number * 50, 'acknowledged': number * 9}
+        send(tables, token, now, length=50, **place)
+        # The time limit of the request before must not end this one.
+        expire_load(load, now + 2.4)
+        assert load.requests_by_token == {token: 1}
+        send(tables, token, now + 0.5, acknowledged=number * 9 + 9)
+        assert_idle(load)
+
+
+@pytest.mark.parametrize(('timeout', 'until'), [(0, 3), (6_000, 3), (900, 0.9)])
+def test_request_without_an_answer_counts_for_too_long(timeout, until):
+    tables = tables_of(timeout=timedelta(milliseconds=timeout))
+    load = tables.answers.load
+    send(tables, next(iter(tables.directory.servers_by_token)), length=50)
+    expire_load(load, NOW + until - 0.01)
+    assert load.requests_by_token
+    expire_load(load, NOW + until)
+    assert_idle(load)
+
+
+def test_counts_grow_without_bound():
+    load = ServerLoad()
+    for token in range(MAX_LOADED_SERVERS + 5):
+        count_opening(load, NOW, (token, token + 1))
+        begin_in_flight(load, NOW, b'%d' % token, token, 3)
+    assert len(load.openings_by_token) == MAX_LOADED_SERVERS
+    assert len(load.requests_by_token) == MAX_LOADED_SERVERS
+    expire_load(load, NOW + 0.12)
+    assert not load.openings_by_token
+    expire_load(load, NOW + 3)
+    assert_idle(load)
+
+
+@pytest.mark.parametrize('switch', ['chooses_by_load', 'shares_evidence'])
+def test_switch_of_the_settings_turns_off_another_part(switch):
+    settings = NodeSettings('10.0.0.1', 'dc-1', BindAddresses(), (1, 2), ())
+    on = read_balancer_options(settings)
+    off = read_balancer_options(
+        msgspec.structs.replace(settings, **{switch: False})
+    )
+    assert getattr(on, switch)
+    assert off == msgspec.structs.replace(on, **{switch: False})
+    tables = make_tables(off)
+    assert (tables.answers.load is None) is (switch == 'chooses_by_load')
+    assert tables.name == '10.0.0.1'
--- a/tests/test_token_forwarding.py
+++ b/tests/test_token_forwarding.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mustardhold.systems.directory import final_report, merge_report, token_of
-from mustardhold.systems.server_choice import index_ready_servers
+from mustardhold.systems.service_servers import index_ready_servers
 from mustardhold.systems.startup_queue import hold_until_ready, pop_held_packets
 from mustardhold.systems.suspicions import suspect_until
 from mustardhold.systems.token_forwarding import (
