Keep a later copy of the evacuations after a restart

Cause: the copy for the early feed was replaced whenever its revision differed from the replica's. After a restart with an older commit index, as after one that could not be written, the replica does not know the latest orders until a leader is elected: the copy went back, and another loss of power in that time gave balancers an older state. Change: the copy is replaced only by a higher revision, also after a restart. Result: the copy never goes back. The new test failed before the change.

--- a/src/mustardhold/daemons/directory_maintenance.py
+++ b/src/mustardhold/daemons/directory_maintenance.py
@@ -140,9 +140,13 @@
 
 
 async def save_evacuation_state(saver: DirectorySaver) -> None:
-    """Save a copy of the evacuated data centres, if they have changed."""
+    """Save a copy of the evacuated data centres, if they are newer.
+
+    After a restart, the replica may not know yet of a later order that is
+    committed, and that the copy contains.
+    """
     state = saver.evacuations()
-    if state.revision == saver.saved_evacuations:
+    if state.revision <= saver.saved_evacuations:
         return
     try:
         await trio.to_thread.run_sync(
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -9,6 +9,7 @@
 
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.directory_store import DirectoryStore
+from mustardhold.adapters.document_store import load_evacuations
 from mustardhold.daemons.control_addresses import control_addresses
 from mustardhold.daemons.directory_maintenance import (
     DirectorySaver,
@@ -112,6 +113,7 @@
         lambda: node.replica.configuration,
         lambda: node.replica.evacuations,
         node.error_reporter,
+        saved_evacuations=load_evacuations(node.disk).revision,
     )
     collector_state = CollectorState(
         directory,
--- a/tests/test_evacuation_handlers.py
+++ b/tests/test_evacuation_handlers.py
@@ -230,6 +230,23 @@
     close_node(second.node)
 
 
+async def test_copy_for_the_early_feed_never_goes_back(tmp_path):
+    """Guards against a restart that does not know yet what is committed.
+
+    The commit index may be older than the copy: it may fail to be written.
+    """
+    first = lead(make_instance(tmp_path))
+    await call(first, 'POST', START)
+    state = first.node.replica.evacuations
+    await save_evacuation_state(first.saver)
+    close_node(first.node)
+    second = make_instance(tmp_path)
+    second.node.replica.evacuations = EvacuationState(1)
+    await save_evacuation_state(second.saver)
+    assert load_evacuations(second.node.disk) == state
+    close_node(second.node)
+
+
 async def poll(feed, query):
     """Return the state that a reply to a poll carries."""
     request = HandlerRequest({}, msgspec.json.encode(query))
