Name arguments, share the feed's handlers, and reword evacuations

Cause: a poll and the feed of a control instance were made from ten positional arguments, two callables defaulted to the type float, the pages of the feed and the share of cold servers were composed twice, and docstrings left out what a tuple or a parameter holds. The list command blamed the leader for any status. Result: decisions and messages are as before; the list command names a status other than 503.

--- a/src/mustardhold/commands/data_centres.py
+++ b/src/mustardhold/commands/data_centres.py
@@ -3,6 +3,7 @@
 import argparse
 from collections.abc import Sequence
 from datetime import UTC, datetime
+from http import HTTPStatus
 
 import httpx
 import msgspec
@@ -111,8 +112,10 @@
         reply = httpx.get(url, timeout=TIMEOUT_SECONDS)
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         return Err(str(error))
-    if not reply.is_success:
+    if reply.status_code == HTTPStatus.SERVICE_UNAVAILABLE:
         return Err('knows no leader that a majority confirms')
+    if not reply.is_success:
+        return Err(f'answers with status {reply.status_code}')
     try:
         return Ok(msgspec.json.decode(reply.content, type=EvacuationState))
     except msgspec.DecodeError as error:
--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -50,13 +50,15 @@
         identity.name,
         source.position,
         wake_version(client),
-        client.document_sink is None,
-        identity.address if identity.serves_feed else '',
-        identity.data_centre,
-        age_of_tables(client),
-        failed_relays(client),
-        client.evacuation_revision(),
-        part_for_source(client.followers(), len(client.sources_by_address)),
+        is_control=client.document_sink is None,
+        address=identity.address if identity.serves_feed else '',
+        data_centre=identity.data_centre,
+        confirmed_ms=age_of_tables(client),
+        failed_relays=failed_relays(client),
+        evacuation_revision=client.evacuation_revision(),
+        balancers=part_for_source(
+            client.followers(), len(client.sources_by_address)
+        ),
     )
     request = HttpRequest(
         'POST', address, FEED_PATH, msgspec.json.encode(query)
--- a/src/mustardhold/daemons/feed_publisher.py
+++ b/src/mustardhold/daemons/feed_publisher.py
@@ -38,6 +38,11 @@
     return NO_EVACUATIONS
 
 
+def unknown_number() -> float:
+    """Return 0, as a process that does not know the number of balancers."""
+    return 0
+
+
 @dataclass(slots=True)
 class FeedPublisher:
     """State that is published, and the processes that poll it.
@@ -76,7 +81,7 @@
     clock: Clock
     limit: int
     evacuations: Callable[[], EvacuationState] = no_evacuations
-    balancers: Callable[[], float] = float
+    balancers: Callable[[], float] = unknown_number
     watchers_by_name: dict[str, Watcher] = field(default_factory=dict)
     changed: trio.Event = field(default_factory=trio.Event)
     polled: trio.Event = field(default_factory=trio.Event)
--- a/src/mustardhold/daemons/feed_state.py
+++ b/src/mustardhold/daemons/feed_state.py
@@ -59,6 +59,11 @@
     return 0
 
 
+def no_followers() -> float:
+    """Return 0, as a process that no balancers follow."""
+    return 0
+
+
 @dataclass(slots=True)
 class FeedClient:
     """State of the polls that a process sends to those that it follows.
@@ -115,7 +120,7 @@
     on_report: Callable[[ServerReport], None]
     on_reply: Callable[[ReceivedReply], None]
     evacuation_revision: Callable[[], int] = no_revision
-    followers: Callable[[], float] = float
+    followers: Callable[[], float] = no_followers
     http_client: HttpClient = field(default_factory=HttpClient)
     relay_addresses: set[str] = field(default_factory=set)
     relay_failed_at: dict[str, float] = field(default_factory=dict)
--- a/src/mustardhold/daemons/operator_client.py
+++ b/src/mustardhold/daemons/operator_client.py
@@ -109,13 +109,16 @@
 
     Parameters
     ----------
+    post_to
+        Posts to an address; an error if that certainly was not reached.
     pause_seconds
         Time between two tries.
 
     Returns
     -------
     Outcome
-        As for ``send_edit``.
+        The certain outcome; unknown if one of the tries may have been
+        committed, and an error if no address was reached at all.
     """
     reasons: list[str] = []
     latest: AnyOutcome | None = None
--- a/src/mustardhold/daemons/proposals.py
+++ b/src/mustardhold/daemons/proposals.py
@@ -1,5 +1,6 @@
 """Commits commands on this replica or through the leader."""
 
+import functools
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
@@ -40,8 +41,7 @@
     propose
         Proposes it to a replica; the second argument is the local time.
     path, body
-        Internal page that commits it at another instance, and the body that
-        this page takes.
+        Path and body of the request that commits it at another instance.
     """
 
     propose: Callable[
@@ -90,7 +90,7 @@
         The immediate result, and the pending proposal that gets the outcome.
     """
     return submit_proposal(
-        node, lambda now: proposal.propose(node.replica, now)
+        node, functools.partial(proposal.propose, node.replica)
     )
 
 
@@ -144,7 +144,7 @@
     path: str,
     decoder: msgspec.json.Decoder[Value],
 ) -> Value | None:
-    """Read a page of the leader; return ``None`` without a valid response."""
+    """Read a page of the leader; return None without a valid response."""
     if leader is None:
         return None
     request = HttpRequest('GET', leader.http_address, path)
--- a/src/mustardhold/daemons/registry_control.py
+++ b/src/mustardhold/daemons/registry_control.py
@@ -34,7 +34,7 @@
     handle_evidence,
 )
 from mustardhold.daemons.feed_client import run_feed_client
-from mustardhold.daemons.feed_handlers import handle_feed_poll, show_document
+from mustardhold.daemons.feed_handlers import make_feed_handlers
 from mustardhold.daemons.feed_publisher import wake_if_changed
 from mustardhold.daemons.metrics_server import serve_metrics
 from mustardhold.daemons.registry_metrics import collect_metrics
@@ -49,7 +49,6 @@
     MAX_REPLICA_BODY_BYTES,
 )
 from mustardhold.tables.evacuations import EVACUATIONS_PATH
-from mustardhold.tables.feed import DOCUMENT_PATH, FEED_PATH
 from mustardhold.tables.server_evidence import EVIDENCE_PATH
 
 
@@ -73,8 +72,7 @@
         ('POST', REPLICA_PATH): functools.partial(
             handle_replica_message, control.node
         ),
-        ('POST', FEED_PATH): functools.partial(handle_feed_poll, control.feed),
-        ('GET', DOCUMENT_PATH): functools.partial(show_document, control.feed),
+        **make_feed_handlers(control.feed),
         ('POST', CONFIGURATION_PATH): functools.partial(
             handle_forwarded_configuration, control.node
         ),
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -89,8 +89,8 @@
         lambda: control_addresses(node),
         clock,
         FEED_WATCHERS_PER_CONTROL,
-        lambda: node.replica.evacuations,
-        lambda: known_balancers(fleet, feed, feed_client),
+        evacuations=lambda: node.replica.evacuations,
+        balancers=lambda: known_balancers(fleet, feed, feed_client),
     )
     fleet = FleetCount()
     feed_client = FeedClient(
--- a/src/mustardhold/systems/cold_choice.py
+++ b/src/mustardhold/systems/cold_choice.py
@@ -45,6 +45,13 @@
             windows.pop(token)
 
 
+def share_for(tables: ForwardingTables, cold: ColdServers) -> float:
+    """Return this balancer's share of a limit, in openings a second."""
+    return share_of(
+        tables.cold_limits, cold.limit, is_last_resort=cold.is_last_resort
+    )
+
+
 def admit_cold(
     tables: ForwardingTables,
     now: float,
@@ -54,15 +61,21 @@
 ) -> tuple[list[KnownServer], bool]:
     """Return the cold servers that an opening may go to, in the flow's order.
 
+    As a last resort, all of them are considered, and avoided ones if there are
+    no others.
+
+    Parameters
+    ----------
+    wanted
+        Number of servers that the flow's ranking is searched for.
+
     Returns
     -------
     tuple
-        The servers, and whether the limit holds the opening back from another
-        one.
+        The servers, and whether the limit holds the opening back from one that
+        it would go to by its ranking.
     """
-    share = share_of(
-        tables.cold_limits, cold.limit, is_last_resort=cold.is_last_resort
-    )
+    share = share_for(tables, cold)
     considered = None
     if not cold.is_last_resort:
         considered = wanted * ranks_for_each(share)
@@ -88,9 +101,7 @@
     chosen: tuple[KnownServer, ...],
 ) -> None:
     """Count the copies of an opening that are sent to cold servers."""
-    share = share_of(
-        tables.cold_limits, cold.limit, is_last_resort=cold.is_last_resort
-    )
+    share = share_for(tables, cold)
     for server in chosen:
         if server.token in cold.tokens:
             count_sent(tables.cold_limits, now, server.token, share)
--- a/src/mustardhold/systems/control_gauges.py
+++ b/src/mustardhold/systems/control_gauges.py
@@ -1,4 +1,4 @@
-"""Gauges of a control replica."""
+"""Gauges of a control replica, and of the state that balancers share."""
 
 from collections.abc import Iterator
 
--- a/src/mustardhold/systems/evacuation.py
+++ b/src/mustardhold/systems/evacuation.py
@@ -17,7 +17,9 @@
 def install_evacuations(
     tables: ForwardingTables, state: EvacuationState
 ) -> bool:
-    """Install the evacuated data centres if they are newer.
+    """Install the evacuated data centres if their revision is higher.
+
+    The weights of servers rise in data centres that are evacuated no longer.
 
     Returns
     -------
@@ -26,12 +28,12 @@
     """
     if state.revision <= tables.evacuations.revision:
         return False
-    ended = evacuated_names(tables)
+    before = evacuated_names(tables)
     tables.evacuations = state
     evacuated = evacuated_names(tables)
     for name in evacuated:
         tables.returned_at.pop(name, None)
-    for name in ended - evacuated:
+    for name in before - evacuated:
         tables.returned_at[name] = NOT_STARTED
     return True
 
@@ -42,9 +44,9 @@
 
 
 def start_returns(tables: ForwardingTables, now: float) -> None:
-    """Start the rise of the weights that wait for the first opening.
+    """Start the rises that wait for the first opening.
 
-    Those that have reached the full weight are forgotten.
+    Those that have ended are forgotten.
     """
     for name, since in tuple(tables.returned_at.items()):
         if since == NOT_STARTED:
--- a/src/mustardhold/tables/evacuations.py
+++ b/src/mustardhold/tables/evacuations.py
@@ -18,6 +18,8 @@
 class EvacuationOrder(msgspec.Struct, frozen=True):
     """An order to begin or to end the evacuation of a data centre.
 
+    It may be sent again; one that changes nothing has no effect.
+
     Attributes
     ----------
     requester
@@ -33,14 +35,12 @@
 
 
 class EvacuatedDataCentre(msgspec.Struct, array_like=True, frozen=True):
-    """An order to send no new flows to the servers of a data centre.
+    """A data centre whose servers get no new flows.
 
     Attributes
     ----------
-    requester
-        Control instance that accepted the order.
-    ordered_at
-        Wall-clock time of that instance, in seconds since 1970-01-01 UTC.
+    requester, ordered_at
+        As in the order that began the evacuation.
     """
 
     name: str
@@ -49,7 +49,7 @@
 
 
 class EvacuationState(msgspec.Struct, array_like=True, frozen=True):
-    """All data centres that are evacuated.
+    """All data centres that are evacuated, and the revision of that state.
 
     Attributes
     ----------
