Keep the number of balancers from before a cut until all are heard again

Cause: while an instance was cut off, it went on to count its own side, and so forgot the number from before. At the end of the cut, it heard a majority before it heard all others, and told balancers a number that was too low. Change: without a majority nothing is counted. Result: the number from before applies for a period after the cut. The new test failed before the change.

--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -141,16 +141,18 @@
     """Return the number of balancers, or 0 if it is not known.
 
     It is known once the balancers had time to poll, and while this instance
-    hears a majority of the group.
+    hears a majority of the group. Without one it does not count either, so
+    that the number from before applies for a while when the others return.
     """
+    if not hears_majority(feed.controls(), client.sources_by_address):
+        return 0
     now = feed.clock.monotonic()
     followers = count_followers(feed.watchers_by_name.values())
     count = count_fleet(
         fleet, now, followers, client.sources_by_address.values()
     )
     is_settled = now - feed.started_at > SETTLING_PERIOD.total_seconds()
-    is_complete = hears_majority(feed.controls(), client.sources_by_address)
-    return count if is_settled and is_complete else 0
+    return count if is_settled else 0
 
 
 def handle_applied(
--- a/tests/test_fleet_count.py
+++ b/tests/test_fleet_count.py
@@ -80,6 +80,24 @@
 )
 def test_a_minority_of_the_control_instances_knows_no_number(heard, expected):
     """Guards against two sides of a cut that each use the whole limit."""
+    feed = settled_feed()
+    assert known_balancers(FleetCount(), feed, client_of(*heard)) == expected
+
+
+def test_the_end_of_a_cut_does_not_lower_the_number():
+    """Guards against larger shares until all instances are heard again."""
+    feed, fleet = settled_feed(), FleetCount()
+    everyone = client_of('c2', 'c3', 'c4', 'c5', 'c6')
+    assert known_balancers(fleet, feed, everyone) == 60
+    for _ in range(4):
+        feed.clock.seconds += PERIOD
+        assert known_balancers(fleet, feed, client_of('c2')) == 0
+    most = client_of('c2', 'c3', 'c4')
+    assert known_balancers(fleet, feed, most) == 60
+
+
+def settled_feed():
+    """Return the feed of the first of six instances, which 10 follow."""
     clock = FakeClock(0)
     feed = FeedPublisher(
         'run',
@@ -91,7 +109,11 @@
         9,
     )
     feed.watchers_by_name['b-1'] = Watcher(balancers=10)
-    sources = {address: FeedSource(balancers=10) for address in heard}
-    client = SimpleNamespace(sources_by_address=sources)
     clock.seconds += SETTLING_PERIOD.total_seconds() + 1
-    assert known_balancers(FleetCount(), feed, client) == expected
+    return feed
+
+
+def client_of(*heard):
+    """Return the client of an instance that hears others, which 10 follow."""
+    sources = {address: FeedSource(balancers=10) for address in heard}
+    return SimpleNamespace(sources_by_address=sources)
