Answer an order whose index an earlier one had

Cause: at the end of its wait, a proposal removed whatever waited at its index. A leader that loses its role and regains it within 900 ms may use the index again; the later order was then committed but answered as unknown. Change: a wait removes only its own entry. Result: the later order is acknowledged. The new test failed before the change.

--- a/src/mustardhold/daemons/proposals.py
+++ b/src/mustardhold/daemons/proposals.py
@@ -106,7 +106,9 @@
         return proposed
     with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
         await pending.done.wait()
-    node.proposals_by_index.pop(proposed.index, None)
+    # A later proposal may have the same index, if this replica lost its role.
+    if node.proposals_by_index.get(proposed.index) is pending:
+        node.proposals_by_index.pop(proposed.index)
     return pending.outcome
 
 
--- a/tests/test_evacuation_handlers.py
+++ b/tests/test_evacuation_handlers.py
@@ -23,10 +23,14 @@
 from mustardhold.daemons.registry_control import make_internal_handlers
 from mustardhold.daemons.registry_metrics import collect_metrics
 from mustardhold.daemons.registry_state import make_control
-from mustardhold.daemons.replica_node import close_node, execute_effects
+from mustardhold.daemons.replica_node import (
+    PendingProposal,
+    close_node,
+    execute_effects,
+)
 from mustardhold.platform.control import make_handlers
 from mustardhold.systems import consensus
-from mustardhold.tables.consensus import ReplicaMember
+from mustardhold.tables.consensus import Pending, ReplicaMember
 from mustardhold.tables.evacuations import (
     NO_EVACUATIONS,
     EvacuatedDataCentre,
@@ -187,6 +191,18 @@
     assert (await call(follower, 'POST', '/evacuations', ORDER)).is_server_error
 
 
+async def test_end_of_a_wait_leaves_a_later_order_at_its_index(follower):
+    """Guards against a later order that is committed but never answered.
+
+    A leader that loses its role and regains it may use an index twice.
+    """
+    earlier, later = PendingProposal(1), PendingProposal(3)
+    follower.node.proposals_by_index[5] = later
+    earlier.done.set()
+    await proposals.wait_outcome(follower.node, Pending(5, 1), earlier)
+    assert follower.node.proposals_by_index == {5: later}
+
+
 @pytest.mark.parametrize(('status', 'is_certain'), [(422, True), (500, False)])
 def test_command_takes_a_failure_for_no_refusal(
     monkeypatch, status, is_certain
