State what the tests of the link queue guard against

Cause: most of them told no failure, a predicate that counts a packet as sent said so last, and a function that returns log fields was named describe. Change: docstrings, and a name. Result: no change of behaviour.

--- a/src/mustardhold/daemons/evacuation_handlers.py
+++ b/src/mustardhold/daemons/evacuation_handlers.py
@@ -86,7 +86,7 @@
     node.log.warning(
         'evacuation order refused',
         extra={
-            **describe(order),
+            **order_fields(order),
             'findings': [str(one) for one in findings],
         },
     )
@@ -102,11 +102,11 @@
     revision = outcome.version if isinstance(outcome, Accepted) else None
     node.log.info(
         'evacuation order answered',
-        extra={**describe(order), 'outcome': name, 'revision': revision},
+        extra={**order_fields(order), 'outcome': name, 'revision': revision},
     )
 
 
-def describe(order: EvacuationOrder) -> dict[str, str]:
+def order_fields(order: EvacuationOrder) -> dict[str, str]:
     """Return the fields of a log line about an order."""
     return {
         'evacuated': order.data_centre,
--- a/src/mustardhold/systems/link_queue.py
+++ b/src/mustardhold/systems/link_queue.py
@@ -58,9 +58,9 @@
 
 
 def may_bypass(queue: LinkQueue, now: float, size: int) -> bool:
-    """Return whether a datagram may be sent now because none waits.
+    """Return whether a datagram may be sent now, without being queued.
 
-    If so, it is counted as sent.
+    It may not overtake queued ones. If it may be sent, it counts as sent.
     """
     return not queue.queued_bytes and may_send(queue.pacing, now, size)
 
@@ -191,7 +191,7 @@
 
 
 def turns_of(queue: LinkQueue, flow: QueuedFlow) -> deque[QueuedFlow]:
-    """Return the turns that a flow takes part in."""
+    """Return the flows of a flow's class, in the order of their turns."""
     if flow.queue_class is QueueClass.SPARSE:
         return queue.sparse
     return queue.backlogged
@@ -219,7 +219,7 @@
     """Return the packet whose turn it is, from a queue that has some.
 
     A flow whose credit does not suffice goes behind the flows with a backlog,
-    and gets new credit there.
+    and gets new credit at each turn there.
     """
     if queue.urgent_by_key:
         return next(iter(queue.urgent_by_key.values()))
--- a/src/mustardhold/tables/link_queue.py
+++ b/src/mustardhold/tables/link_queue.py
@@ -150,7 +150,7 @@
 
 
 class DuePackets(NamedTuple):
-    """Packets that may be sent now.
+    """Packets that may be sent now, in the order in which to send them.
 
     Attributes
     ----------
--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -152,7 +152,7 @@
 
 
 def test_uploads_neither_lose_packets_nor_delay_small_ones():
-    # Bursts used to overflow the link's queue, together with small packets.
+    """Guards against bursts that overflow the link's queue with all others."""
     load = mixed_load()
     before, after = play(load, None), play(load, make_queue())
     assert before.loss('upload') > 0.5
@@ -164,13 +164,14 @@
 
 
 def test_idle_link_sends_at_once_and_a_busy_one_only_its_burst():
+    """Guards against a wait where there is no need, and a burst above it."""
     queue = make_queue()
     sizes = [1268 for _ in range(20) if may_bypass(queue, START, 1268)]
     assert sum(sizes) == LINK_BURST_BYTES
 
 
 def test_flow_is_sent_in_the_order_of_its_sequence_numbers():
-    # Packets arrive in any order, also around the wrap of the numbers.
+    """Guards against a burst's random order, and the wrap of the numbers."""
     queue = make_queue()
     fill_link(queue)
     numbers = [(2**32 - 3 * PAYLOAD + n * PAYLOAD) % 2**32 for n in range(8)]
@@ -180,6 +181,7 @@
 
 
 def test_openings_resets_and_sparse_flows_go_first():
+    """Guards against small packets that wait behind an upload."""
     queue = make_queue()
     fill_link(queue)
     for number in range(4):
@@ -196,6 +198,7 @@
 
 
 def test_three_uploads_share_the_link_by_bytes():
+    """Guards against a flow that gets more by more or larger packets."""
     queue = make_queue()
     fill_link(queue)
     for flow, count in (('a', 60), ('b', 20), ('c', 40)):
@@ -211,6 +214,7 @@
 
 
 def test_copy_takes_the_place_of_a_queued_packet():
+    """Guards against copies that take the link twice or go back in time."""
     queue = make_queue()
     fill_link(queue)
     add(queue, START, packet('other'))
@@ -228,7 +232,10 @@
 
 
 def test_acknowledgements_are_no_copies_of_each_other():
-    # A late one in place of a newer one would delay the server's next packets.
+    """Guards against a late one that replaces a newer one.
+
+    It would delay the server's next packets.
+    """
     queue = make_queue()
     fill_link(queue)
     for ack in (9, 5):
@@ -237,6 +244,7 @@
 
 
 def test_full_queue_drops_the_end_of_the_longest_flow():
+    """Guards against a queue that grows, and a flow that displaces others."""
     queue = make_queue()
     fill_link(queue)
     add(queue, START, packet('short'))
@@ -253,6 +261,7 @@
 
 @pytest.mark.parametrize('jump', [-3600, 0.9, 3600])
 def test_clock_jump_releases_one_burst_at_most(jump):
+    """Guards against a suspension that counts as time in which to send."""
     queue = make_queue()
     fill_link(queue)
     for number in range(30):
