--- a/tests/test_evacuation_handlers.py
+++ b/tests/test_evacuation_handlers.py
@@ -23,10 +23,14 @@
 from mustardhold.daemons.registry_control import make_internal_handlers
 from mustardhold.daemons.registry_metrics import collect_metrics
 from mustardhold.daemons.registry_state import make_control
-from mustardhold.daemons.replica_node import close_node, execute_effects
+from mustardhold.daemons.replica_node import (
+    PendingProposal,
+    close_node,
+    execute_effects,
+)
 from mustardhold.platform.control import make_handlers
 from mustardhold.systems import consensus
-from mustardhold.tables.consensus import ReplicaMember
+from mustardhold.tables.consensus import Pending, ReplicaMember
 from mustardhold.tables.evacuations import (
     NO_EVACUATIONS,
     EvacuatedDataCentre,
@@ -187,6 +191,18 @@
     assert (await call(follower, 'POST', '/evacuations', ORDER)).is_server_error
 
 
+async def test_end_of_a_wait_leaves_a_later_order_at_its_index(follower):
+    """Guards against a later order that is committed but never answered.
+
+    A leader that loses its role and regains it may use an index twice.
+    """
+    earlier, later = PendingProposal(1), PendingProposal(3)
+    follower.node.proposals_by_index[5] = later
+    earlier.done.set()
+    await proposals.wait_outcome(follower.node, Pending(5, 1), earlier)
+    assert follower.node.proposals_by_index == {5: later}
+
+
 @pytest.mark.parametrize(('status', 'is_certain'), [(422, True), (500, False)])
 def test_command_takes_a_failure_for_no_refusal(
     monkeypatch, status, is_certain
@@ -230,6 +246,23 @@
     close_node(second.node)
 
 
+async def test_copy_for_the_early_feed_never_goes_back(tmp_path):
+    """Guards against a restart that does not know yet what is committed.
+
+    The commit index may be older than the copy: it may fail to be written.
+    """
+    first = lead(make_instance(tmp_path))
+    await call(first, 'POST', START)
+    state = first.node.replica.evacuations
+    await save_evacuation_state(first.saver)
+    close_node(first.node)
+    second = make_instance(tmp_path)
+    second.node.replica.evacuations = EvacuationState(1)
+    await save_evacuation_state(second.saver)
+    assert load_evacuations(second.node.disk) == state
+    close_node(second.node)
+
+
 async def poll(feed, query):
     """Return the state that a reply to a poll carries."""
     request = HandlerRequest({}, msgspec.json.encode(query))
