Forget services that send the collector no evidence any more

Cause: the table of services was never emptied. After 1,024 of them, as with services that are renamed, evidence of a new one was refused as too many posts. Change: if the table is full, services without posts for 30 s are forgotten.

--- a/src/mustardhold/systems/evidence_window.py
+++ b/src/mustardhold/systems/evidence_window.py
@@ -59,7 +59,7 @@
         for one in post.servers
         if is_of_service(directory, one.token, post.service)
     ]
-    service = find_service(collector, post.service) if known else None
+    service = find_service(collector, now, post.service) if known else None
     if known and (service is None or not count_post(service, now, post)):
         return EvidenceVerdict.TOO_MANY
     if service is not None and known:
@@ -73,17 +73,32 @@
 
 
 def find_service(
-    collector: EvidenceCollector, name: str
+    collector: EvidenceCollector, now: float, name: str
 ) -> ServiceEvidence | None:
     """Return the evidence of a service; None if the table is full."""
     services = collector.services_by_name
     service = services.get(name)
-    if service is None and len(services) < MAX_COLLECTED_SERVICES:
-        service = ServiceEvidence()
-        services[name] = service
+    if service is not None:
+        return service
+    if len(services) >= MAX_COLLECTED_SERVICES:
+        forget_idle_services(services, now)
+    if len(services) >= MAX_COLLECTED_SERVICES:
+        return None
+    service = ServiceEvidence()
+    services[name] = service
     return service
 
 
+def forget_idle_services(
+    services: dict[str, ServiceEvidence], now: float
+) -> None:
+    """Forget the services of which nothing was posted lately."""
+    oldest = now - MAX_EVIDENCE_SECONDS
+    for name, service in tuple(services.items()):
+        if not service.slices or service.slices[-1].started_at < oldest:
+            services.pop(name)
+
+
 def is_news(collector: EvidenceCollector, now: float, token: int) -> bool:
     """Return whether evidence may tell of a time after the last suspicion."""
     term = collector.terms_by_token.get(token)
--- a/tests/test_server_evidence.py
+++ b/tests/test_server_evidence.py
@@ -1,5 +1,7 @@
 """Tests which servers the observations of a whole fleet make suspect."""
 
+from collections import deque
+
 import msgspec
 import pytest
 
@@ -12,9 +14,12 @@
     suspects_after,
 )
 from mustardhold.tables.server_evidence import (
+    MAX_COLLECTED_SERVICES,
     EvidenceCollector,
     EvidencePost,
+    EvidenceSlice,
     ServerEvidence,
+    ServiceEvidence,
 )
 from mustardhold.tables.suspicions import Suspect, Suspicions
 from tools.fakes.evidence_fleet import SERVICE, Fleet, play
@@ -134,6 +139,20 @@
     assert verdicts[-1] is EvidenceVerdict.TOO_MANY
 
 
+def test_services_of_the_past_fill_the_collector():
+    """Guards against a collector that takes no new service any more."""
+    collector, directory, tokens = collector_of()
+    for number in range(MAX_COLLECTED_SERVICES):
+        evidence = ServiceEvidence(deque([EvidenceSlice(1)]))
+        collector.services_by_name[f's-{number}'] = evidence
+    post = one_post(tokens[0])
+    verdict = add_evidence(collector, directory, 2, post)
+    assert verdict is EvidenceVerdict.TOO_MANY
+    verdict = add_evidence(collector, directory, 40, post)
+    assert verdict is EvidenceVerdict.ACCEPTED
+    assert list(collector.services_by_name) == [SERVICE]
+
+
 def test_suspicion_outlives_its_evidence_or_never_grows():
     collector, directory, tokens = collector_of()
     lasted = []
