Bound the memory of refusals in time, and that of classes

Cause: a refused flow was remembered until later refusals displaced it, and not for 1.5 s. A later flow of the same ports that another balancer had admitted could be reset when its opening was repeated. Classes of openings stayed for ever, so each change of priorities added one to each service. Change: a refusal counts for 1.5 s from the last time; a class without openings goes when a new one comes.

--- a/src/mustardhold/systems/overload_control.py
+++ b/src/mustardhold/systems/overload_control.py
@@ -58,8 +58,7 @@
     read_answers
         Returns the answers of the service in the last second.
     """
-    was_refused = opening.flow in control.refused_at_by_flow
-    if opening.attempt and not was_refused:
+    if opening.attempt and not was_refused(control, now, opening.flow):
         return True
     load = load_of(control, now, opening.service)
     count_opening(load, now, opening)
@@ -109,10 +108,21 @@
     return point < admitted_share(load, now, opening) * HASH_RANGE
 
 
+def was_refused(control: OverloadControl, now: float, flow: bytes) -> bool:
+    """Return whether the opening of a flow was refused here just now.
+
+    Later ones are of another flow with the same ports, which another balancer
+    may have admitted.
+    """
+    refused_at = control.refused_at_by_flow.get(flow, -math.inf)
+    return now - refused_at <= REFUSAL_MEMORY_SECONDS
+
+
 def remember_refusal(control: OverloadControl, now: float, flow: bytes) -> None:
     """Remember a refused flow while its opening may be repeated."""
     refused = control.refused_at_by_flow
-    refused.setdefault(flow, now)
+    refused[flow] = now
+    refused.move_to_end(flow)
     while refused:
         oldest = next(iter(refused))
         is_old = now - refused[oldest] > REFUSAL_MEMORY_SECONDS
--- a/src/mustardhold/systems/overload_demand.py
+++ b/src/mustardhold/systems/overload_demand.py
@@ -45,6 +45,7 @@
     """
     demand = load.demand_by_class.get(opening.opening_class)
     if demand is None:
+        expire_classes(load, now)
         demand = ClassDemand(now)
         load.demand_by_class[opening.opening_class] = demand
     add_one(demand.openings, now, CLASS_MEMORY_SECONDS)
@@ -58,6 +59,14 @@
     add_one(count, now, CALLER_MEMORY_SECONDS)
 
 
+def expire_classes(load: ServiceLoad, now: float) -> None:
+    """Remove classes without openings, as those of an old configuration."""
+    for opening_class, demand in tuple(load.demand_by_class.items()):
+        amount = amount_at(demand.openings, now, CLASS_MEMORY_SECONDS)
+        if amount <= EXPIRED_COUNT:
+            load.demand_by_class.pop(opening_class)
+
+
 def expire_callers(demand: ClassDemand, now: float) -> None:
     """Remove callers that asked long ago, and the oldest one if full."""
     counts = demand.counts_by_caller
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -336,6 +336,19 @@
     assert all(admit(control, now + 20, n, calm, attempt=1) for n in refused)
 
 
+def test_refusal_binds_a_later_flow_of_the_same_ports():
+    """Guards against the reset of a flow that another balancer admitted."""
+    control, now = overloaded()
+    results = {n: admit(control, now, n) for n in range(1000, 1100)}
+    refused = [n for n, was_admitted in results.items() if not was_admitted]
+    assert refused
+    assert all(admit(control, now + 1.6, n, attempt=1) for n in refused)
+    again = [n for n in refused if not admit(control, now + 4, n)]
+    assert again
+    repeated = [admit(control, now + 4.2, n, attempt=1) for n in again]
+    assert sum(repeated) < len(again) / 10
+
+
 def test_late_answers_of_few_servers_do_not_count_as_overload():
     # Long flows send many requests to the same servers.
     control = OverloadControl()
@@ -379,6 +392,15 @@
     assert not demand.counts_by_caller
 
 
+def test_classes_of_old_configurations_stay():
+    """Guards against a table that grows with each change of priorities."""
+    control = OverloadControl()
+    for number in range(20):
+        admit(control, 60 * number, number, kind=OpeningClass(number, True))
+    [load] = control.loads_by_service.values()
+    assert len(load.demand_by_class) == 1
+
+
 def make_route(port, **changes):
     route = ServiceRoute(
         f'r-{port}',
