Send no copies of requests whose deadline has passed

Cause: an owner that was held up considers overdue copies with the next request, before its timers end the requests whose deadline has passed; it spent budget on copies that no caller waits for. Change: such a request gets no copy. Result: the new test failed before and passes.

--- a/src/mustardhold/systems/hedge_copies.py
+++ b/src/mustardhold/systems/hedge_copies.py
@@ -52,9 +52,12 @@
 def consider_copy(
     tables: BalancerTables, now: float, key: bytes, outbox: Outbox
 ) -> None:
-    """Send a copy of a request, unless it is answered or not slow enough."""
+    """Send a copy of a request, unless it is answered or not slow enough.
+
+    An owner that was held up sends none for requests whose deadline has passed.
+    """
     record = tables.requests.records_by_key.get(key)
-    if record is None or record.is_hedged:
+    if record is None or record.is_hedged or now >= record.deadline_at:
         return
     delay = hedge_delay(tables, record)
     if delay is None or now < record.sent_at + delay:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -298,6 +298,14 @@
     assert not tables.hedging.hedges_by_key
 
 
+def test_no_copy_of_a_request_whose_deadline_has_passed():
+    """Guards against copies that an owner sends after it was held up."""
+    tables = make_tables()
+    send(tables, 1.0, request_of(1))
+    send(tables, 4.0, request_of(2))
+    assert not tables.hedging.flows_by_server
+
+
 def test_a_shed_request_with_a_copy_may_have_run():
     record = make_record(forwards=1, sheds=1)
     assert is_certainly_not_run(record)
