Split the end of copies from hedge_copies.py

Change: hedge_endings.py ends copies and records decisions; the key in the id of a copy is read in one place. Result: no behaviour changes; the tests are as before.

--- a/src/mustardhold/systems/hedge_copies.py
+++ b/src/mustardhold/systems/hedge_copies.py
@@ -1,4 +1,4 @@
-"""Sends copies of slow requests, and settles which answer is used."""
+"""Sends copies of slow requests, and decides which answer is used."""
 
 import heapq
 import struct
@@ -7,12 +7,16 @@
 
 from mustardhold.systems.admission import (
     end_record,
-    has_waiting,
     narrow_window,
     window_for,
 )
 from mustardhold.systems.copy_flows import await_opening, copy_flow_to
 from mustardhold.systems.dispatch import is_active_primary
+from mustardhold.systems.hedge_endings import (
+    add_event,
+    end_hedge,
+    send_to_server,
+)
 from mustardhold.systems.hedge_promises import request_promises
 from mustardhold.systems.hedging import (
     choose_target,
@@ -26,18 +30,14 @@
 from mustardhold.systems.retries import credit_retry_budget
 from mustardhold.tables.balancer import BalancerTables
 from mustardhold.tables.constants import MAX_COPY_PARTS
-from mustardhold.tables.hedging import (
-    CopyFlow,
-    Hedge,
-    HedgeEvent,
-    HedgeOutcome,
-)
-from mustardhold.tables.outbox import Outbox, ToBackend, ToCaller
-from mustardhold.tables.packets import Answer, Cancel, Request, Shed
+from mustardhold.tables.hedging import CopyFlow, Hedge, HedgeOutcome
+from mustardhold.tables.outbox import Outbox, ToCaller
+from mustardhold.tables.packets import Answer, Cancel, Shed
 from mustardhold.tables.request_messages import HedgePromise
-from mustardhold.tables.requests import RequestRecord, RequestState
+from mustardhold.tables.requests import RequestState
 
 MS_PER_SECOND = 1000
+# The id of a copy begins with the key of its request.
 KEY_BYTES = 8
 
 
@@ -114,7 +114,7 @@
         flow=hedge.copy_flow,
         request_id=hedge.copy_id,
     )
-    send_to(tables, hedge.backend_id, packet, outbox)
+    send_to_server(tables, hedge.backend_id, packet, outbox)
     request_promises(tables, key, hedge, outbox)
     waited_ms = (now - record.sent_at) * MS_PER_SECOND
     tables.counters[record.service, 'hedged'] += 1
@@ -122,51 +122,33 @@
     add_event(tables, now, record, hedge, ('hedged', reason, None))
 
 
-def add_event(
-    tables: BalancerTables,
-    now: float,
-    record: RequestRecord,
-    hedge: Hedge,
-    details: tuple[str, str, float | None],
-) -> None:
-    """Note a decision with its outcome, reason and time since the copy."""
-    outcome, reason, seconds = details
-    tables.hedging.events.append(
-        HedgeEvent(
-            now,
-            record.flow,
-            record.request_id,
-            record.service,
-            outcome,
-            hedge.backend_id,
-            reason,
-            seconds,
-        )
-    )
-
-
 def handle_copy_answer(
     tables: BalancerTables, now: float, packet: Answer, outbox: Outbox
 ) -> None:
     """Store a part of a copy's answer, and use the answer once it is whole."""
-    key = packet.request_id[:KEY_BYTES]
+    key = key_of_original(packet)
     hedge = running_hedge(tables, packet)
     if hedge is None:
         tables.counters['', 'copy-answer-late'] += 1
         return
     if packet.part >= packet.parts or packet.parts > MAX_COPY_PARTS:
         tables.counters['', 'copy-answer-too-long'] += 1
-        finish(tables, now, key, HedgeOutcome.CANCELLED, outbox)
+        end_hedge(tables, now, key, HedgeOutcome.CANCELLED, outbox)
         return
     hedge.parts[packet.part] = packet
     use_copy(tables, now, key, hedge, outbox)
 
 
+def key_of_original(packet: Answer | Shed) -> bytes:
+    """Return the key of the request whose copy a server's packet is about."""
+    return packet.request_id[:KEY_BYTES]
+
+
 def running_hedge(
     tables: BalancerTables, packet: Answer | Shed
 ) -> Hedge | None:
     """Return the running copy that a server's packet is about."""
-    hedge = tables.hedging.running.get(packet.request_id[:KEY_BYTES])
+    hedge = tables.hedging.running.get(key_of_original(packet))
     if hedge is None:
         return None
     expected = (hedge.copy_flow, hedge.copy_id)
@@ -180,14 +162,14 @@
     hedge = running_hedge(tables, packet)
     if hedge is not None:
         narrow_window(tables, hedge.backend_id)
-        key = packet.request_id[:KEY_BYTES]
-        finish(tables, now, key, HedgeOutcome.CANCELLED, outbox)
+        key = key_of_original(packet)
+        end_hedge(tables, now, key, HedgeOutcome.CANCELLED, outbox)
 
 
 def handle_hedge_promise(
     tables: BalancerTables, now: float, message: HedgePromise, outbox: Outbox
 ) -> None:
-    """Note a member's promise, and use the copy's answer if it was the last."""
+    """Record a member's promise; if it was the last, use the copy's answer."""
     hedge = tables.hedging.running.get(message.key)
     if hedge is not None and hedge.epoch == message.epoch:
         hedge.awaited.discard(message.member_id)
@@ -228,57 +210,12 @@
         )
         outbox.append(ToCaller(part))
     cancel = Cancel(record.flow, record.request_id)
-    send_to(tables, record.backend_id, cancel, outbox)
+    send_to_server(tables, record.backend_id, cancel, outbox)
     tables.counters[record.service, 'answered'] += 1
     record_latency(tables, now, record)
     credit_retry_budget(tables, record.service)
     end_record(tables, record)
-    finish(tables, now, key, HedgeOutcome.WON, outbox)
-
-
-def send_to(
-    tables: BalancerTables,
-    backend_id: str,
-    packet: Request | Cancel,
-    outbox: Outbox,
-) -> None:
-    """Send a packet to a server, if it is known."""
-    known = tables.backends_by_id.get(backend_id)
-    if known is not None:
-        outbox.append(ToBackend(known.announced.address, packet))
-
-
-REASONS = {
-    HedgeOutcome.WON: 'the copy was answered first',
-    HedgeOutcome.LOST: 'the server of the flow answered first',
-    HedgeOutcome.CANCELLED: 'the copy is no longer needed or was not run',
-}
-
-
-def finish(
-    tables: BalancerTables,
-    now: float,
-    key: bytes,
-    outcome: HedgeOutcome,
-    outbox: Outbox,
-) -> None:
-    """End a copy and release its slot; cancel it unless it was answered."""
-    hedge = tables.hedging.running.pop(key)
-    hedge.outcome = outcome
-    hedge.parts.clear()
-    window = window_for(tables, hedge.backend_id)
-    window.in_flight -= 1
-    if has_waiting(window):
-        tables.requests.ready_backends.add(hedge.backend_id)
-    if outcome is not HedgeOutcome.WON:
-        cancel = Cancel(hedge.copy_flow, hedge.copy_id)
-        send_to(tables, hedge.backend_id, cancel, outbox)
-    record = tables.requests.records_by_key.get(key)
-    if record is None:
-        return
-    tables.counters[record.service, f'hedge-{outcome}'] += 1
-    details = (f'hedge-{outcome}', REASONS[outcome], now - hedge.sent_at)
-    add_event(tables, now, record, hedge, details)
+    end_hedge(tables, now, key, HedgeOutcome.WON, outbox)
 
 
 def finish_ended_hedges(
@@ -288,13 +225,13 @@
     for key, hedge in tuple(tables.hedging.running.items()):
         record = tables.requests.records_by_key.get(key)
         if record is not None and record.parts_seen:
-            finish(tables, now, key, HedgeOutcome.LOST, outbox)
+            end_hedge(tables, now, key, HedgeOutcome.LOST, outbox)
         elif (
             record is None
             or record.state is RequestState.ENDED
             or hedge.epoch != tables.view.epoch
         ):
-            finish(tables, now, key, HedgeOutcome.CANCELLED, outbox)
+            end_hedge(tables, now, key, HedgeOutcome.CANCELLED, outbox)
 
 
 def resend_promise_requests(tables: BalancerTables, outbox: Outbox) -> None:
--- a/src/mustardhold/systems/hedge_routing.py
+++ b/src/mustardhold/systems/hedge_routing.py
@@ -9,13 +9,13 @@
 )
 from mustardhold.systems.hedge_copies import (
     consider_copy,
-    finish,
     finish_ended_hedges,
     handle_copy_answer,
     handle_copy_shed,
     resend_promise_requests,
     run_due_hedges,
 )
+from mustardhold.systems.hedge_endings import end_hedge
 from mustardhold.systems.hedge_promises import (
     divert_answer,
     drop_late_answer,
@@ -88,7 +88,7 @@
         copy_flow.is_open = False
     for key, hedge in tuple(tables.hedging.running.items()):
         if hedge.copy_flow == flow:
-            finish(tables, now, key, HedgeOutcome.CANCELLED, outbox)
+            end_hedge(tables, now, key, HedgeOutcome.CANCELLED, outbox)
 
 
 def pass_answer(
