Name tables by their keys, and tests by what holds

Cause: tables of hedging and of evidence posts did not tell what they hold by which key, and names of tests on evidence stated the opposite of what they check. Change: names only; the tests check what they did.

--- a/src/mustardhold/daemons/evidence_posts.py
+++ b/src/mustardhold/daemons/evidence_posts.py
@@ -48,10 +48,10 @@
         Name of the balancer.
     addresses
         Returns the internal addresses of all known control instances.
-    failed_at
-        When an address last failed; local clock, in seconds.
-    next_at
-        When the next post for a service may be sent, by service.
+    failed_at_by_address
+        When a control instance last failed; local clock, in seconds.
+    next_at_by_service
+        When the next post for a service may be sent.
     taken_at
         When evidence was last taken; local clock, in seconds. Infinite before
         the first time.
@@ -63,8 +63,8 @@
     clock: Clock
     http_client: HttpClient
     counters: Counter[tuple[str, str]]
-    failed_at: dict[str, float] = field(default_factory=dict)
-    next_at: dict[str, float] = field(default_factory=dict)
+    failed_at_by_address: dict[str, float] = field(default_factory=dict)
+    next_at_by_service: dict[str, float] = field(default_factory=dict)
     taken_at: float = float('inf')
 
 
@@ -101,11 +101,11 @@
     poster.taken_at = now
     due: list[EvidencePost] = []
     for name, service in poster.tracking.services_by_name.items():
-        if now >= poster.next_at.get(name, now):
+        if now >= poster.next_at_by_service.get(name, now):
             post = take_evidence(service, now, poster.reporter)
             if post is not None:
                 due.append(post)
-                poster.next_at[name] = now + LONGEST_POST_SECONDS
+                poster.next_at_by_service[name] = now + LONGEST_POST_SECONDS
     return due
 
 
@@ -138,14 +138,16 @@
         )
         now = poster.clock.monotonic()
         if not isinstance(response, Err) and response.value.is_success:
-            poster.failed_at.pop(address, None)
+            poster.failed_at_by_address.pop(address, None)
             poster.counters['evidence', 'posted'] += 1
-            poster.next_at[post.service] = now + read_pause(response.value.body)
+            poster.next_at_by_service[post.service] = now + read_pause(
+                response.value.body
+            )
             return
-        poster.failed_at[address] = now
+        poster.failed_at_by_address[address] = now
         poster.counters['evidence', 'post-failed'] += 1
     poster.counters['evidence', 'lost'] += 1
-    poster.next_at.pop(post.service, None)
+    poster.next_at_by_service.pop(post.service, None)
 
 
 def rank_collectors(poster: EvidencePoster, service: str) -> list[str]:
@@ -157,15 +159,15 @@
     failed_after = (
         poster.clock.monotonic() - EVIDENCE_FAILURE_PERIOD.total_seconds()
     )
-    poster.failed_at = {
+    poster.failed_at_by_address = {
         address: failed_at
-        for address, failed_at in poster.failed_at.items()
+        for address, failed_at in poster.failed_at_by_address.items()
         if failed_at > failed_after
     }
     ranked = sorted(
         poster.addresses(),
         key=lambda address: (
-            address in poster.failed_at,
+            address in poster.failed_at_by_address,
             rendezvous_rank(service, address),
         ),
     )
--- a/src/mustardhold/systems/evidence_window.py
+++ b/src/mustardhold/systems/evidence_window.py
@@ -65,7 +65,7 @@
     if service is not None and known:
         record_load(service, now, post)
         for one in known:
-            if is_recent(collector, now, one.token):
+            if is_after_suspicion(collector, now, one.token):
                 add_to_sum(service.slices[-1], now, post.reporter, one)
     if len(known) < len(post.servers):
         return EvidenceVerdict.UNKNOWN_SERVERS
@@ -99,7 +99,9 @@
             services.pop(name)
 
 
-def is_recent(collector: EvidenceCollector, now: float, token: int) -> bool:
+def is_after_suspicion(
+    collector: EvidenceCollector, now: float, token: int
+) -> bool:
     """Return whether evidence may be of requests after the last suspicion."""
     term = collector.terms_by_token.get(token)
     return term is None or now >= term.began_at + GRACE_SECONDS
--- a/src/mustardhold/systems/hedge_copies.py
+++ b/src/mustardhold/systems/hedge_copies.py
@@ -107,7 +107,7 @@
         set(tables.view.members_by_id) - {tables.instance_id},
     )
     tables.hedging.hedges_by_key[key] = hedge
-    tables.hedging.running[key] = hedge
+    tables.hedging.running_by_key[key] = hedge
     window_for(tables, hedge.backend_id).in_flight += 1
     packet = msgspec.structs.replace(
         remaining_packet(record.packet, record.deadline_at, now),
@@ -148,7 +148,7 @@
     tables: BalancerTables, packet: Answer | Shed
 ) -> Hedge | None:
     """Return the running copy that a server's packet is about."""
-    hedge = tables.hedging.running.get(key_of_original(packet))
+    hedge = tables.hedging.running_by_key.get(key_of_original(packet))
     if hedge is None:
         return None
     expected = (hedge.copy_flow, hedge.copy_id)
@@ -170,7 +170,7 @@
     tables: BalancerTables, now: float, message: HedgePromise, outbox: Outbox
 ) -> None:
     """Record a member's promise; if it was the last, use the copy's answer."""
-    hedge = tables.hedging.running.get(message.key)
+    hedge = tables.hedging.running_by_key.get(message.key)
     if hedge is not None and hedge.epoch == message.epoch:
         hedge.awaited.discard(message.member_id)
         use_copy(tables, now, message.key, hedge, outbox)
@@ -222,7 +222,7 @@
     tables: BalancerTables, now: float, outbox: Outbox
 ) -> None:
     """End the copies of requests that were answered or ended otherwise."""
-    for key, hedge in tuple(tables.hedging.running.items()):
+    for key, hedge in tuple(tables.hedging.running_by_key.items()):
         record = tables.requests.records_by_key.get(key)
         if record is not None and record.parts_seen:
             end_hedge(tables, now, key, HedgeOutcome.LOST, outbox)
@@ -236,6 +236,6 @@
 
 def resend_promise_requests(tables: BalancerTables, outbox: Outbox) -> None:
     """Ask again for the promises that answered copies still wait for."""
-    for key, hedge in tables.hedging.running.items():
+    for key, hedge in tables.hedging.running_by_key.items():
         if is_whole(hedge):
             request_promises(tables, key, hedge, outbox)
--- a/src/mustardhold/systems/hedge_endings.py
+++ b/src/mustardhold/systems/hedge_endings.py
@@ -22,7 +22,7 @@
     outbox: Outbox,
 ) -> None:
     """End a copy and release its slot; cancel it unless it was answered."""
-    hedge = tables.hedging.running.pop(key)
+    hedge = tables.hedging.running_by_key.pop(key)
     hedge.outcome = outcome
     hedge.parts.clear()
     window = window_for(tables, hedge.backend_id)
--- a/src/mustardhold/systems/hedge_promises.py
+++ b/src/mustardhold/systems/hedge_promises.py
@@ -36,7 +36,7 @@
 
     The owner first gets the reports of the parts that were passed on.
     """
-    promises = tables.hedging.promises
+    promises = tables.hedging.promised_until_by_key
     if message.epoch != tables.view.epoch:
         return
     promises.pop(message.key, None)
@@ -51,7 +51,7 @@
 
 def expire_promises(tables: BalancerTables, now: float) -> None:
     """Drop the promises about requests that have no record any more."""
-    promises = tables.hedging.promises
+    promises = tables.hedging.promised_until_by_key
     while promises:
         key = next(iter(promises))
         if now < promises[key]:
@@ -73,7 +73,7 @@
     owner = owners_of_flow(tables, packet.flow)[0]
     if owner == tables.instance_id:
         return drop_late_answer(tables, key)
-    if key not in tables.hedging.promises:
+    if key not in tables.hedging.promised_until_by_key:
         return False
     relay = Relay(tables.instance_id, tables.view.epoch, 1, packet)
     outbox.append(ToPeer(owner, relay))
--- a/src/mustardhold/systems/hedge_routing.py
+++ b/src/mustardhold/systems/hedge_routing.py
@@ -86,7 +86,7 @@
     copy_flow = find_copy_flow(tables, flow)
     if copy_flow is not None:
         copy_flow.is_open = False
-    for key, hedge in tuple(tables.hedging.running.items()):
+    for key, hedge in tuple(tables.hedging.running_by_key.items()):
         if hedge.copy_flow == flow:
             end_hedge(tables, now, key, HedgeOutcome.CANCELLED, outbox)
 
@@ -96,7 +96,7 @@
 ) -> None:
     """Pass an answer on, or let its owner decide if the request is hedged."""
     hedging = tables.hedging
-    if hedging.policy is None and not hedging.promises:
+    if hedging.policy is None and not hedging.promised_until_by_key:
         handle_answer(tables, packet, outbox)
     elif not divert_answer(tables, packet, outbox):
         accept_answer(tables, now, packet, outbox)
--- a/src/mustardhold/systems/hedging.py
+++ b/src/mustardhold/systems/hedging.py
@@ -50,11 +50,11 @@
         record.service, LatencySamples()
     )
     latencies.samples.append(now - record.sent_at)
-    latencies.unsorted_samples += 1
+    latencies.samples_since_percentile += 1
     count = len(latencies.samples)
-    is_due = latencies.unsorted_samples >= HEDGE_RESORT_SAMPLES
+    is_due = latencies.samples_since_percentile >= HEDGE_RESORT_SAMPLES
     if count >= MIN_HEDGE_SAMPLES and is_due:
-        latencies.unsorted_samples = 0
+        latencies.samples_since_percentile = 0
         rank = math.ceil(count * HEDGE_PERCENTILE) - 1
         latencies.percentile = sorted(latencies.samples)[rank]
 
--- a/src/mustardhold/tables/hedging.py
+++ b/src/mustardhold/tables/hedging.py
@@ -132,14 +132,14 @@
 
     Attributes
     ----------
-    unsorted_samples
-        Number of samples since ``percentile`` was computed.
+    samples_since_percentile
+        Number of samples added since ``percentile`` was computed.
     """
 
     samples: deque[float] = field(
         default_factory=lambda: deque(maxlen=HEDGE_SAMPLES)
     )
-    unsorted_samples: int = 0
+    samples_since_percentile: int = 0
     percentile: float | None = None
 
 
@@ -158,13 +158,14 @@
         monotonic clock, in seconds, with their keys.
     hedges_by_key
         Copies by the key of their request, as long as its record.
-    running
-        Keys of the copies that have no outcome yet, oldest first.
+    running_by_key
+        Copies that have no outcome yet, by the key of their request, oldest
+        first.
     flows_by_server
         Flows for copies, by server and service address.
-    promises
-        Keys of requests whose answers are relayed to their owner, each with
-        the time at which the promise ends; oldest first.
+    promised_until_by_key
+        When the promise to relay the answers of a request to its owner ends, by
+        its key; oldest first.
     events
         Decisions that are not in the observations yet.
     """
@@ -176,11 +177,11 @@
     tokens_by_service: dict[str, float] = field(default_factory=dict)
     timers: list[tuple[float, bytes]] = field(default_factory=list)
     hedges_by_key: dict[bytes, Hedge] = field(default_factory=dict)
-    running: dict[bytes, Hedge] = field(default_factory=dict)
+    running_by_key: dict[bytes, Hedge] = field(default_factory=dict)
     flows_by_server: dict[tuple[str, bytes], CopyFlow] = field(
         default_factory=dict
     )
-    promises: dict[bytes, float] = field(default_factory=dict)
+    promised_until_by_key: dict[bytes, float] = field(default_factory=dict)
     events: deque[HedgeEvent] = field(
         default_factory=lambda: deque(maxlen=MAX_HEDGE_EVENTS)
     )
--- a/tests/test_evidence_daemons.py
+++ b/tests/test_evidence_daemons.py
@@ -71,7 +71,7 @@
     service.has_bad = late > 0
 
 
-async def test_dead_collector_stops_the_evidence(monkeypatch):
+async def test_evidence_goes_to_the_next_collector_if_one_is_dead(monkeypatch):
     dead = set()
     poster, service, asked = make_poster(monkeypatch, dead)
     see(service, late=2)
@@ -89,7 +89,7 @@
     assert poster.counters['evidence', 'lost'] == 1
 
 
-async def test_suspended_balancer_posts_what_it_saw_before(monkeypatch):
+async def test_suspended_balancer_drops_what_it_saw_before(monkeypatch):
     """Guards against evidence that is counted long after it was seen."""
     poster, service, asked = make_poster(monkeypatch, CONTROLS)
     see(service, late=0)
@@ -113,7 +113,9 @@
     assert poster.counters['evidence', 'lost'] == 2
 
 
-async def test_posts_without_bad_news_or_within_the_pause(monkeypatch):
+async def test_nothing_is_posted_without_bad_answers_or_within_the_pause(
+    monkeypatch,
+):
     poster, service, _ = make_poster(monkeypatch, set())
     see(service, late=0)
     assert not take_due(poster)
@@ -172,7 +174,7 @@
         ),
     ],
 )
-async def test_malformed_evidence_is_taken_in(body):
+async def test_malformed_evidence_is_refused(body):
     state, _, woken = make_collector_state()
     reply = await handle_evidence(state, HandlerRequest({}, body))
     assert reply.status == 400
@@ -181,7 +183,7 @@
     assert not woken
 
 
-async def test_suspicion_is_not_logged_with_its_inputs(caplog):
+async def test_suspicion_is_logged_with_its_inputs(caplog):
     caplog.set_level(logging.INFO)
     state, tokens, woken = make_collector_state()
     for reporter in ('b-1', 'b-2'):
@@ -201,7 +203,7 @@
 
 
 @pytest.mark.parametrize('held_up', [0, 1.5])
-def test_suspicion_lasts_longer_where_it_is_received(held_up):
+def test_suspicion_lasts_no_longer_where_it_is_received(held_up):
     clock, directory, woken = FakeClock(10), Directory(), []
     client = FeedClient(
         WatcherIdentity('b-1', 'dc-1', ''),
@@ -224,7 +226,7 @@
         assert suspect_tokens(directory.suspicions, now) == expected
 
 
-def test_feed_repeats_suspicions_that_did_not_change():
+def test_feed_does_not_repeat_unchanged_suspicions():
     clock, directory = FakeClock(10), Directory()
     feed = FeedPublisher(
         'run', directory, lambda: NO_DOCUMENT, clock.monotonic, tuple, clock, 9
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -336,7 +336,7 @@
     assert all(admit(control, now + 20, n, calm, attempt=1) for n in refused)
 
 
-def test_refusal_binds_a_later_flow_of_the_same_ports():
+def test_refusal_does_not_bind_a_later_flow_of_the_same_ports():
     """Guards against the reset of a flow that another balancer admitted."""
     control, now = overloaded()
     results = {n: admit(control, now, n) for n in range(1000, 1100)}
@@ -392,7 +392,7 @@
     assert not demand.counts_by_caller
 
 
-def test_classes_of_old_configurations_stay():
+def test_classes_of_old_configurations_go():
     """Guards against a table that grows with each change of priorities."""
     control = OverloadControl()
     for number in range(20):
--- a/tests/test_server_evidence.py
+++ b/tests/test_server_evidence.py
@@ -27,7 +27,7 @@
 
 @pytest.mark.parametrize('seed', range(2))
 @pytest.mark.parametrize('fault', ['failing', 'hanging', 'slow'])
-def test_bad_servers_stay_in_use_or_good_ones_do_not(fault, seed):
+def test_bad_servers_become_suspect_and_good_ones_do_not(fault, seed):
     """60 servers, 82 balancers, 792 requests/s; 6 servers bad from 4 to 10 s.
 
     Bad periods last 5 s and more, so half of the bad servers have to be found
@@ -50,13 +50,13 @@
 
 
 @pytest.mark.parametrize('share', [0.9, 1.1, 1.5])
-def test_overload_makes_servers_suspect(share):
+def test_overload_makes_no_server_suspect(share):
     """All 60 servers get this share of what their 120 slots can do."""
     fleet = play(Fleet(rate=share * 120 / 0.034, seed=2), 5)
     assert not fleet.suspected_at
 
 
-def test_more_than_the_permitted_share_is_suspect_at_once():
+def test_no_more_than_the_permitted_share_is_suspect_at_once():
     """20 of the 60 servers are slow; 18 are 30 %."""
     fleet = play(Fleet('slow', bad=20, seed=3), 8)
     assert 0 < fleet.most_suspects <= 18
@@ -64,7 +64,7 @@
 
 @pytest.mark.parametrize('seed', range(1, 4))
 @pytest.mark.parametrize(('late', 'victims'), [(9_000, 5), (3, 5), (3, 60)])
-def test_one_lying_balancer_makes_servers_suspect(late, victims, seed):
+def test_one_lying_balancer_makes_no_server_suspect(late, victims, seed):
     """Made-up answers count as work too, so a few tell more than many."""
 
     def lie(index, post):
@@ -102,7 +102,7 @@
 
 
 @pytest.mark.parametrize('late', [0, 1])
-def test_late_flows_everywhere_hide_servers_that_fail(late):
+def test_late_flows_everywhere_hide_no_server_that_fails(late):
     """Most flows have just moved to other balancers, which makes them late."""
     collector, directory, tokens = collector_of()
     for reporter in ('b-1', 'b-2'):
@@ -123,7 +123,7 @@
         ({'servers': ((5, 9, 9, 9),)}, EvidenceVerdict.UNKNOWN_SERVERS),
     ],
 )
-def test_evidence_that_cannot_be_believed_counts(changes, verdict):
+def test_implausible_evidence_does_not_count(changes, verdict):
     collector, directory, tokens = collector_of()
     for reporter in ('b-1', 'b-2'):
         post = one_post(tokens[0], reporter, 9, **changes)
@@ -131,7 +131,7 @@
     assert not evaluate_service(collector, directory, 1, SERVICE)
 
 
-def test_reporter_floods_the_collector():
+def test_posts_of_a_flooding_reporter_are_refused():
     collector, directory, tokens = collector_of()
     post = one_post(tokens[0])
     verdicts = [add_evidence(collector, directory, 1, post) for _ in range(9)]
@@ -139,7 +139,7 @@
     assert verdicts[-1] is EvidenceVerdict.TOO_MANY
 
 
-def test_services_of_the_past_fill_the_collector():
+def test_idle_services_make_room_for_new_ones():
     """Guards against a collector that takes no new service any more."""
     collector, directory, tokens = collector_of()
     for number in range(MAX_COLLECTED_SERVICES):
@@ -153,7 +153,7 @@
     assert list(collector.services_by_name) == [SERVICE]
 
 
-def test_suspicion_outlives_its_evidence_or_never_grows():
+def test_suspicion_ends_and_lasts_longer_when_it_recurs():
     collector, directory, tokens = collector_of()
     lasted = []
     now = 1
@@ -177,7 +177,7 @@
 @pytest.mark.parametrize(
     ('bad', 'busy_ms', 'suspects'), [(3, 0, 3), (4, 0, 0), (3, 8_500, 1)]
 )
-def test_service_loses_servers_that_it_needs(bad, busy_ms, suspects):
+def test_service_keeps_the_servers_that_it_needs(bad, busy_ms, suspects):
     """10 servers of 2 slots; too many bad ones, or too many busy slots."""
     collector, directory, tokens = collector_of()
     for reporter in ('b-3', 'b-4'):
@@ -187,7 +187,7 @@
     assert len(detections) == suspects
 
 
-def test_suspicion_grows_while_processes_pass_it_around():
+def test_suspicion_does_not_grow_while_processes_pass_it_around():
     first, second = Suspicions(), Suspicions()
     suspect_until(first, 10, 7, 12)
     for step in range(20):
@@ -207,7 +207,7 @@
     assert not suspect_tokens(suspicions, 15)
 
 
-def test_unchanged_suspicions_are_sent_again():
+def test_only_changed_suspicions_are_sent():
     suspicions = Suspicions()
     suspect_until(suspicions, 1, 7, 5)
     suspect_until(suspicions, 1, 8, 5)
