Compare a server's evidence with the weight of the others

Cause: the rate of the other servers was taken in relation to their work by answers seen, if that exceeds their weight. Change: the work of the others is their weight.

--- a/src/mustardhold/systems/evidence_outliers.py
+++ b/src/mustardhold/systems/evidence_outliers.py
@@ -162,10 +162,13 @@
     """Find the most servers that all stand out from all others.
 
     The reference is those that do not stand out, since several bad servers
-    would otherwise hide each other.
+    would otherwise hide each other. Their work is their weight, as answers that
+    one balancer makes up would lower their rate.
     """
     bad = list(accumulate((one.bad for one in candidates), initial=0))
-    load = list(accumulate((one.load for one in candidates), initial=0))
+    slots = list(
+        accumulate((one.server.report.slots for one in candidates), initial=0)
+    )
     seen = list(
         accumulate(
             (count_answers(one.evidence) for one in candidates), initial=0
@@ -176,7 +179,7 @@
         other_bad = bad[-1] - bad[count]
         if other_bad > (seen[-1] - seen[count]) * kind.max_other_share:
             continue
-        other_rate = other_bad / (load[-1] - load[count])
+        other_rate = other_bad / (1 - slots[count] / slots[-1])
         outliers = [
             Outlier(one, other_rate * one.load) for one in candidates[:count]
         ]
--- a/tests/test_server_evidence.py
+++ b/tests/test_server_evidence.py
@@ -114,6 +114,22 @@
     assert [one.token for one in detections] == tokens[:1]
 
 
+def test_much_made_up_work_of_one_server_makes_no_other_suspect():
+    """Guards against a rate of the others that one balancer can lower."""
+    collector, directory, tokens = collector_of()
+    for number in range(9):
+        evidence = [
+            ServerEvidence(token, 0, int(number < 2), 100) for token in tokens
+        ]
+        evidence[0] = ServerEvidence(tokens[0], 0, 1, 100)
+        post = one_post(tokens[0], f'b-{number}', servers=evidence)
+        add_evidence(collector, directory, 1, post)
+    lie = [ServerEvidence(tokens[9], 0, 0, 1_000_000)]
+    post = one_post(tokens[9], 'liar', servers=lie)
+    add_evidence(collector, directory, 1, post)
+    assert not evaluate_service(collector, directory, 1, SERVICE)
+
+
 @pytest.mark.parametrize(
     ('changes', 'verdict'),
     [
