--- a/src/mustardhold/systems/affinity.py
+++ b/src/mustardhold/systems/affinity.py
@@ -184,6 +184,7 @@
     ):
         return
     mark_responsive(tables, packet)
+    # is_copy_flow without the cost of a call for each packet.
     if packet.flow.startswith(COPY_CALLER):
         route_copy_packet(tables, now, packet, outbox)
         return
