Look through the running copies only for answers of hedged requests

Cause: each answer that an owner passes on looked through all its running copies: 80 microseconds with 200 of them (a trial of accept_answer alone). Change: only if the request of the answer has a running copy. Copies of requests that end otherwise are ended at the next tick, as before where no answer comes. Result: 2.4 microseconds in the same trial; proofs hedged-once and hedged-answers hold as the tests run them.

--- a/src/mustardhold/systems/hedge_routing.py
+++ b/src/mustardhold/systems/hedge_routing.py
@@ -119,7 +119,8 @@
     if record is not None and not record.parts_seen:
         record_latency(tables, now, record)
     handle_answer(tables, packet, outbox)
-    finish_ended_hedges(tables, now, outbox)
+    if key in tables.hedging.running_by_key:
+        finish_ended_hedges(tables, now, outbox)
     if service_of(tables, packet.flow) in policy.services:
         flush_answer_reports(tables, outbox)
 
