--- a/src/mustardhold/systems/hedge_routing.py
+++ b/src/mustardhold/systems/hedge_routing.py
@@ -9,13 +9,13 @@
 )
 from mustardhold.systems.hedge_copies import (
     consider_copy,
-    finish,
     finish_ended_hedges,
     handle_copy_answer,
     handle_copy_shed,
     resend_promise_requests,
     run_due_hedges,
 )
+from mustardhold.systems.hedge_endings import end_hedge
 from mustardhold.systems.hedge_promises import (
     divert_answer,
     drop_late_answer,
@@ -86,9 +86,9 @@
     copy_flow = find_copy_flow(tables, flow)
     if copy_flow is not None:
         copy_flow.is_open = False
-    for key, hedge in tuple(tables.hedging.running.items()):
+    for key, hedge in tuple(tables.hedging.running_by_key.items()):
         if hedge.copy_flow == flow:
-            finish(tables, now, key, HedgeOutcome.CANCELLED, outbox)
+            end_hedge(tables, now, key, HedgeOutcome.CANCELLED, outbox)
 
 
 def pass_answer(
@@ -96,7 +96,7 @@
 ) -> None:
     """Pass an answer on, or let its owner decide if the request is hedged."""
     hedging = tables.hedging
-    if hedging.policy is None and not hedging.promises:
+    if hedging.policy is None and not hedging.promised_until_by_key:
         handle_answer(tables, packet, outbox)
     elif not divert_answer(tables, packet, outbox):
         accept_answer(tables, now, packet, outbox)
@@ -119,7 +119,8 @@
     if record is not None and not record.parts_seen:
         record_latency(tables, now, record)
     handle_answer(tables, packet, outbox)
-    finish_ended_hedges(tables, now, outbox)
+    if key in tables.hedging.running_by_key:
+        finish_ended_hedges(tables, now, outbox)
     if service_of(tables, packet.flow) in policy.services:
         flush_answer_reports(tables, outbox)
 
