Report every malformed field of a configuration, and refuse values that raise

Cause: a target latency of 1e300 was accepted by control and raised an OverflowError in read_configuration at balancers; a version of 2^64 cannot be encoded for the balancers; a port of 5,000 digits, and nesting of 985 to 999 levels, raised in validate_document. Refusals named only the first error of each route, and a duplicate key without its place. Change: bounds on version and target latency; the port is parsed where a ValueError is expected; platform/json_errors.py finds the errors of all fields by the types of the structs, and replaces the decoder of raw parts. Reading and the search for unknown kinds share decode_document.

--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -1,7 +1,6 @@
 """Decoding and validation of the platform's JSON configuration."""
 
 import ipaddress
-import json
 from collections import Counter
 from collections.abc import Iterator
 from datetime import timedelta
@@ -10,6 +9,12 @@
 import msgspec
 
 from mustardhold.adapters.documents import pack_document, unpack_document
+from mustardhold.platform.json_errors import (
+    DECODE_ERRORS,
+    find_duplicate_keys,
+    find_type_errors,
+    locate_error,
+)
 from mustardhold.tables.configurations import (
     Configuration,
     RequestKind,
@@ -22,8 +27,16 @@
 from mustardhold.tables.outcomes import Err, Ok, Outcome
 from mustardhold.tables.routing import Finding
 
+# Control and balancers exchange versions as integers of 64 bits.
+MAX_VERSION = 2**63 - 1
+# Some 30 years; a ``timedelta`` overflows at 80,000 times that.
+MAX_LATENCY_MS = 1_000_000_000_000
+READ_PATH = '/api/configuration/get'
+
 Positive = Annotated[int, msgspec.Meta(gt=0)]
+Version = Annotated[int, msgspec.Meta(gt=0, le=MAX_VERSION)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+Latency = Annotated[float, msgspec.Meta(ge=0, le=MAX_LATENCY_MS)]
 Priority = Annotated[int, msgspec.Meta(ge=0)]
 DEFAULT_IDLE_MS = 15_000
 MAX_PORT = 65_535
@@ -63,7 +76,7 @@
     service: str = ''
     split: tuple[WireTarget, ...] = ()
     priority: Priority = 0
-    target_latency_ms: NonNegative = 0
+    target_latency_ms: Latency = 0
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -91,23 +104,13 @@
 class WireConfiguration(msgspec.Struct, frozen=True):
     """A complete configuration in the JSON form of the platform."""
 
-    version: Positive
+    version: Version
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...]
     limits: WireLimits = WireLimits()
 
 
-class RawConfiguration(msgspec.Struct, frozen=True):
-    """A configuration whose parts are decoded one by one to find all errors."""
-
-    version: msgspec.Raw
-    routes: tuple[msgspec.Raw, ...]
-    services: tuple[msgspec.Raw, ...]
-    limits: msgspec.Raw = msgspec.Raw(b'{}')
-
-
 _decoder = msgspec.json.Decoder(WireConfiguration)
-_raw_decoder = msgspec.json.Decoder(RawConfiguration)
 
 
 def validate_document(raw: bytes) -> Outcome[VersionedDocument, Findings]:
@@ -120,7 +123,8 @@
     """
     decoded = decode(raw)
     if isinstance(decoded, Err):
-        return Err(find_malformed_parts(raw) or decoded.error)
+        all_errors = tuple(find_type_errors('', WireConfiguration, raw))
+        return Err(all_errors or decoded.error)
     duplicates = find_duplicate_keys(raw)
     findings = (*duplicates, *find_errors(decoded.value))
     if findings:
@@ -132,79 +136,10 @@
     """Decode a configuration, or return the location of the first error."""
     try:
         return Ok(_decoder.decode(raw))
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Err((locate_error('', error),))
 
 
-def locate_error(parent: str, error: Exception) -> Finding:
-    """Return a decoding error as a finding, placed below a parent."""
-    message, _, place = str(error).partition(' - at `$')
-    return Finding((parent + place.strip('`')).lstrip('.'), message)
-
-
-def find_malformed_parts(raw: bytes) -> Findings:
-    """Find the errors of each part of a configuration that is malformed.
-
-    The decoder of the whole stops at the first error, but an operator wants
-    to see all of them.
-
-    Returns
-    -------
-    tuple
-        The findings; empty if not even the parts can be told apart.
-    """
-    try:
-        parts = _raw_decoder.decode(raw)
-    except (msgspec.DecodeError, RecursionError):
-        return ()
-    checks: list[tuple[str, Any, msgspec.Raw]] = [
-        ('version', Positive, parts.version),
-        ('limits', WireLimits, parts.limits),
-    ]
-    checks.extend(
-        (f'services[{number}]', WireService, service)
-        for number, service in enumerate(parts.services)
-    )
-    checks.extend(
-        (f'routes[{number}]', WireRoute, route)
-        for number, route in enumerate(parts.routes)
-    )
-    found = (find_part_error(*check) for check in checks)
-    return tuple(finding for finding in found if finding is not None)
-
-
-def find_part_error(
-    place: str, part_type: Any, raw: msgspec.Raw
-) -> Finding | None:
-    """Return the first error of one part, or None if it is well-formed."""
-    try:
-        msgspec.json.decode(raw, type=part_type)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return locate_error(place, error)
-    return None
-
-
-def find_duplicate_keys(raw: bytes) -> Findings:
-    """Find duplicate keys in an object, since either value may be meant."""
-    duplicates: list[Finding] = []
-
-    def collect_duplicates(pairs: list[tuple[str, Any]]) -> None:
-        counts = Counter(key for key, _ in pairs)
-        duplicates.extend(
-            Finding(key, 'occurs twice in one object')
-            for key, count in counts.items()
-            if count > 1
-        )
-
-    try:
-        # Numbers stay strings: they are not used here, and parsing an
-        # integer of thousands of digits would fail.
-        json.loads(raw, object_pairs_hook=collect_duplicates, parse_int=str)
-    except ValueError as error:
-        return (Finding('body', str(error)),)
-    return tuple(duplicates)
-
-
 def find_errors(wire: WireConfiguration) -> Iterator[Finding]:
     """Find errors that concern several fields, such as unknown services."""
     services = {service.name for service in wire.services}
@@ -267,17 +202,21 @@
 def read_address(route: WireRoute) -> ServiceAddress | None:
     """Parse a route's address and port; return None if malformed."""
     port = route.path_prefix.strip('/')
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+    if not port.isascii() or not port.isdigit():
         return None
     try:
-        return ServiceAddress(int(ipaddress.IPv4Address(route.host)), int(port))
+        # A port of thousands of digits is a ``ValueError`` as well.
+        address = ServiceAddress(
+            int(ipaddress.IPv4Address(route.host)), int(port)
+        )
     except ValueError:
         return None
+    return address if address.port <= MAX_PORT else None
 
 
-def read_configuration(
+def decode_document(
     document: VersionedDocument,
-) -> Outcome[Configuration, Findings]:
+) -> Outcome[WireConfiguration, Findings]:
     """Decode a document that was validated before it was packed.
 
     It may have been damaged since, so errors are returned as findings.
@@ -285,7 +224,14 @@
     unpacked = unpack_document(document)
     if isinstance(unpacked, Err):
         return Err((Finding('document', unpacked.error),))
-    decoded = decode(unpacked.value)
+    return decode(unpacked.value)
+
+
+def read_configuration(
+    document: VersionedDocument,
+) -> Outcome[Configuration, Findings]:
+    """Decode the parts of a document that decisions depend on."""
+    decoded = decode_document(document)
     if isinstance(decoded, Err):
         return decoded
     wire = decoded.value
@@ -321,16 +267,18 @@
 
 def find_unknown_kinds(document: VersionedDocument) -> Findings:
     """Find the routes of a valid document whose kind is not known."""
-    unpacked = unpack_document(document)
-    decoded = unpacked if isinstance(unpacked, Err) else decode(unpacked.value)
+    decoded = decode_document(document)
     if isinstance(decoded, Err):
         return ()
+    return tuple(find_kind_warnings(decoded.value))
+
+
+def find_kind_warnings(wire: WireConfiguration) -> Iterator[Finding]:
+    """Yield a finding for each route whose kind is not known."""
     known = set(RequestKind)
-    return tuple(
-        Finding(
-            f'routes[{number}].kind',
-            f'{route.kind!r} is not known; taken as not idempotent',
-        )
-        for number, route in enumerate(decoded.value.routes)
-        if route.kind not in known
-    )
+    for number, route in enumerate(wire.routes):
+        if route.kind not in known:
+            yield Finding(
+                f'routes[{number}].kind',
+                f'{route.kind!r} is not known; taken as not idempotent',
+            )
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -33,6 +33,7 @@
 )
 from mustardhold.daemons.replica_node import AnyOutcome
 from mustardhold.platform.configurations import (
+    READ_PATH,
     find_unknown_kinds,
     validate_document,
 )
@@ -167,7 +168,7 @@
         ('POST', '/api/instances/*/heartbeat'): handle_report,
         ('POST', '/api/instances/*/leave'): handle_leave,
         ('POST', REPLACE_PATH): handle_configuration,
-        ('GET', '/api/configuration/get'): show_configuration,
+        ('GET', READ_PATH): show_configuration,
         ('POST', '/api/evacuation/*/start'): functools.partial(
             handle_evacuation, EvacuationAction.EVACUATE
         ),
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -75,10 +75,20 @@
         (b'9' * 5_000, True),
         (b'1e999999', True),
         (b'[' * 100_000, False),
+        (b'[' * 995 + b']' * 995, False),
+        (b'{"a":' * 995 + b'1' + b'}' * 995, False),
+    ],
+    ids=[
+        'not-utf-8',
+        'long-number',
+        'large-number',
+        'deep',
+        'deep-array',
+        'deep-object',
     ],
-    ids=['not-utf-8', 'long-number', 'large-number', 'deep'],
 )
 def test_unknown_fields_are_ignored_or_refused(extra, is_valid):
+    """Nesting near the limit of recursion raised while keys were compared."""
     read = validate_document(with_extra(extra))
     assert isinstance(read, Ok if is_valid else Err)
 
@@ -187,6 +197,9 @@
         (body(route(), route(host='198.18.0.2')), 'routes'),
         (body(route(host='nonsense')), 'routes[0]'),
         (body(route(path_prefix='/70000/')), 'routes[0]'),
+        (body(route(path_prefix='9' * 5_000)), 'routes[0]'),
+        (body(route(target_latency_ms=1e300)), 'routes[0].target_latency_ms'),
+        (body(route(), version=2**64), 'version'),
         (body(route(service=None)), 'routes[0]'),
         (
             body(
@@ -210,6 +223,10 @@
         (body(route(priority=-1)), 'routes[0].priority'),
         (body(route(), version='7'), 'version'),
         (b'{"version":1,"version":2,"routes":[],"services":[]}', 'version'),
+        (
+            body(route()).replace(b'"kind"', b'"kind":"safe","kind"'),
+            'routes[0].kind',
+        ),
         (b'[' * 100_000, ''),
         (b'\xff', ''),
     ],
@@ -232,14 +249,16 @@
 
 def test_all_malformed_parts_of_a_configuration_are_returned():
     raw = body(
-        route(timeout_ms=0),
+        route(timeout_ms=0, priority=-1),
         route(kind=''),
-        route(),
+        route(host=None),
         limits={'idle_timeout_ms': 0},
     )
     assert {finding.place for finding in validate_document(raw).error} == {
         'routes[0].timeout_ms',
+        'routes[0].priority',
         'routes[1].kind',
+        'routes[2]',
         'limits.idle_timeout_ms',
     }
 
