Add mustardhold check-configuration

Cause: an operator learned only from control's refusal, or not at all, that a configuration has errors, entries without effect or contradictory limits (section 6 of docs/design/uneven-load.md). Duplicate names are reported with their first two numbers.

--- a/src/mustardhold/cli.py
+++ b/src/mustardhold/cli.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from mustardhold.commands.check import run_check
+from mustardhold.commands.check_configuration import run_check_configuration
 from mustardhold.commands.data_centres import run_data_centre
 from mustardhold.commands.edits import run_edit
 from mustardhold.commands.explain import run_explain
@@ -19,6 +20,7 @@
     'balancer': run_balancer_program,
     'control': run_control_program,
     'check': run_check,
+    'check-configuration': run_check_configuration,
     'route': run_edit,
     'pool': run_edit,
     'replica': run_replica,
@@ -37,7 +39,7 @@
     int
         The exit code: 0 on success, 1 if the request was refused, the fleet
         was unreachable or the program could not start, 2 for wrong usage or
-        settings with findings.
+        settings with findings. ``check-configuration`` has codes of its own.
     """
     arguments = make_parser().parse_args(argv)
     return COMMANDS[arguments.command](arguments)
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -22,6 +22,7 @@
   mustardhold control --settings control.yaml
   mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
   mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
+  mustardhold check-configuration new.json --against 10.1.0.5:7100
   mustardhold data-centre evacuate berlin-1 --control 10.1.0.5:7100
   mustardhold status --at 127.0.0.1:7101 --at 127.0.0.1:7102
   mustardhold explain 198.51.100.7:40000,10.20.0.2:443 --at 127.0.0.1:7101
@@ -31,6 +32,27 @@
   0  done
   1  the fleet refused or could not be reached, or a program could not start
   2  wrong usage, or settings with findings
+  check-configuration has codes of its own, which its --help lists
+"""
+
+CHECK_DESCRIPTION = """\
+Check a configuration in the JSON form of the platform before it is sent, and
+tell how it differs from the one in force. Nothing is changed anywhere.
+"""
+CHECK_EPILOG = """\
+examples:
+  mustardhold check-configuration new.json
+  mustardhold check-configuration new.json --against 10.1.0.5:7100
+  mustardhold check-configuration new.json --against old.json --json
+
+error: control would refuse the configuration. warning: it has entries without
+effect, or limits that contradict each other. note: worth a look. added, removed
+and changed: differences from the one in force.
+
+exit codes:
+  0  no errors and no warnings
+  1  errors or warnings
+  2  wrong usage, a file that cannot be read, or control could not be reached
 """
 
 
@@ -51,6 +73,15 @@
             'check', help='check settings files, alone and as one fleet'
         )
     )
+    add_check_configuration(
+        commands.add_parser(
+            'check-configuration',
+            help='check a configuration before it is sent',
+            description=CHECK_DESCRIPTION,
+            epilog=CHECK_EPILOG,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+    )
     add_route(commands.add_parser('route', help='edit the routes'))
     add_pool(commands.add_parser('pool', help='edit the pools'))
     add_replica(
@@ -142,6 +173,20 @@
     command.add_argument('files', type=Path, nargs='+', metavar='FILE')
 
 
+def add_check_configuration(command: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``check-configuration``."""
+    command.add_argument(
+        'file', type=Path, metavar='FILE', help='the JSON body to be sent'
+    )
+    command.add_argument(
+        '--against',
+        metavar='ADDRESS|FILE',
+        help='the configuration in force: HOST:PORT of a control instance, to '
+        'read it from there, or a file',
+    )
+    command.add_argument('--json', action='store_true', help='print JSON')
+
+
 def add_entry_arguments(command: argparse.ArgumentParser) -> None:
     """Add the arguments that ``route`` and ``pool`` have in common."""
     command.add_argument('action', choices=('put', 'delete'))
--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -1,7 +1,7 @@
 """Decoding and validation of the platform's JSON configuration."""
 
 import ipaddress
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Iterator
 from datetime import timedelta
 from typing import Annotated, Any
@@ -162,9 +162,16 @@
     keys: Iterator[Any], place: str, key_name: str
 ) -> Iterator[Finding]:
     """Yield a finding for each key that occurs more than once."""
-    for key, count in Counter(keys).items():
-        if count > 1:
-            yield Finding(place, f'{key_name} {key!r} occurs {count} times')
+    numbers_by_key = defaultdict[Any, list[int]](list)
+    for number, key in enumerate(keys):
+        numbers_by_key[key].append(number)
+    for repeated, numbers in numbers_by_key.items():
+        if len(numbers) > 1:
+            yield Finding(
+                place,
+                f'{key_name} {repeated!r} occurs {len(numbers)} times, '
+                f'first in [{numbers[0]}] and [{numbers[1]}]',
+            )
 
 
 def find_route_errors(
