Document check-configuration, and say when nothing was compared

Cause: a trial with a running control instance showed "0 differences" for a malformed file, the path of the file in a line of 110 columns, and a reply of 404 from the internal port that did not say which address is meant.

--- a/src/mustardhold/commands/check_configuration.py
+++ b/src/mustardhold/commands/check_configuration.py
@@ -57,8 +57,7 @@
     else:
         for line in format_report(report):
             print_line(printable(line))
-        summary = summarize(report, in_force)
-        print_line(f'{printable(arguments.file)}: {summary}')
+        print_line(summarize(report, in_force))
     severities = {rated.severity for rated in report.findings}
     return EXIT_FAILED if severities - {Severity.NOTE} else EXIT_OK
 
@@ -116,7 +115,7 @@
     """Format all findings and differences, one a line."""
     for severity, finding in report.findings:
         yield f'{severity:8}{format_finding(finding)}'
-    for difference in report.differences:
+    for difference in report.differences or ():
         yield f'{difference.change:8}{format_difference(difference)}'
 
 
@@ -151,9 +150,11 @@
     counts = [
         count(select(report, severity), severity) for severity in Severity
     ]
-    if in_force is not None:
+    if report.differences is not None and in_force is not None:
         differences = count(report.differences, 'difference')
         counts.append(f'{differences} from version {in_force.wire.version}')
+    elif in_force is not None:
+        counts.append(f'not compared with version {in_force.wire.version}')
     return ', '.join(counts)
 
 
--- a/src/mustardhold/commands/configuration_fetching.py
+++ b/src/mustardhold/commands/configuration_fetching.py
@@ -58,9 +58,13 @@
     """Return the body of a response, or why there is none."""
     status = f'{reply.status_code} {reply.reason_phrase}'.strip()
     if reply.status_code == HTTPStatus.SERVICE_UNAVAILABLE:
-        return Err(f'{status}: try another control instance')
+        return Err(
+            f'{status}: try another control instance, unless none is in force'
+        )
     if not reply.is_success:
-        return Err(f'{status}: is it the address of a control instance?')
+        return Err(
+            f'{status}: is it the address where control takes configurations?'
+        )
     body = bytearray()
     async for chunk in reply.aiter_bytes():
         body += chunk
--- a/src/mustardhold/commands/parser.py
+++ b/src/mustardhold/commands/parser.py
@@ -22,7 +22,7 @@
   mustardhold control --settings control.yaml
   mustardhold route put katalog --address 10.20.0.2:443 --control 127.0.0.1:7001
   mustardhold pool put werkstatt --server 'boot-*' --control 127.0.0.1:7001
-  mustardhold check-configuration new.json --against 10.1.0.5:7100
+  mustardhold check-configuration new.json --against 10.1.0.5:7000
   mustardhold data-centre evacuate berlin-1 --control 10.1.0.5:7100
   mustardhold status --at 127.0.0.1:7101 --at 127.0.0.1:7102
   mustardhold explain 198.51.100.7:40000,10.20.0.2:443 --at 127.0.0.1:7101
@@ -42,7 +42,7 @@
 CHECK_EPILOG = """\
 examples:
   mustardhold check-configuration new.json
-  mustardhold check-configuration new.json --against 10.1.0.5:7100
+  mustardhold check-configuration new.json --against 10.1.0.5:7000
   mustardhold check-configuration new.json --against old.json --json
 
 error: control would refuse the configuration. warning: it has entries without
@@ -181,8 +181,8 @@
     command.add_argument(
         '--against',
         metavar='ADDRESS|FILE',
-        help='the configuration in force: HOST:PORT of a control instance, to '
-        'read it from there, or a file',
+        help='the configuration in force: HOST:PORT where a control instance '
+        'takes configurations, to read it from there, or a file',
     )
     command.add_argument('--json', action='store_true', help='print JSON')
 
--- a/src/mustardhold/platform/configuration_check.py
+++ b/src/mustardhold/platform/configuration_check.py
@@ -61,10 +61,16 @@
 
 
 class CheckReport(msgspec.Struct, frozen=True):
-    """What one check found, in the order of the document."""
+    """What one check found, in the order of the document.
 
-    findings: tuple[RatedFinding, ...] = ()
-    differences: tuple[Difference, ...] = ()
+    Attributes
+    ----------
+    differences
+        None if the configuration was not compared with another one.
+    """
+
+    findings: tuple[RatedFinding, ...]
+    differences: tuple[Difference, ...] | None = None
 
 
 def check_configuration(
@@ -83,11 +89,13 @@
     located = tuple(with_line(error, raw) for error in errors)
     read = read_fields(raw)
     if isinstance(read, Err):
-        findings = [
-            *rate(Severity.ERROR, located or read.error),
-            *rate(Severity.NOTE, (NOT_SEARCHED,)),
-        ]
-        return CheckReport(sort_findings(findings, load_fields(raw) or {}))
+        rated = rate(Severity.ERROR, located or read.error)
+        return CheckReport(
+            (
+                *sort_findings(rated, load_fields(raw) or {}),
+                *rate(Severity.NOTE, (NOT_SEARCHED,)),
+            )
+        )
     findings = [
         *rate(Severity.ERROR, located),
         *rate(Severity.WARNING, find_version_warnings(in_force, read.value)),
@@ -96,9 +104,7 @@
     ]
     return CheckReport(
         sort_findings(findings, read.value.fields),
-        ()
-        if in_force is None
-        else tuple(find_differences(in_force, read.value)),
+        tuple(find_differences(in_force, read.value)) if in_force else None,
     )
 
 
