Import check-configuration where it is run, and show added entries as sent

Cause: cli.py imported the command's modules, and with them six of platform/, at each start of mustardhold balancer and control. Added and removed entries showed defaults that the document does not have. Change: cli.py imports the command when it is run; defaults are filled in only to compare fields, from the structs.

--- a/src/mustardhold/cli.py
+++ b/src/mustardhold/cli.py
@@ -1,9 +1,10 @@
 """Command-line interface: parses the arguments and runs a subcommand."""
 
+import argparse
+import importlib
 from collections.abc import Sequence
 
 from mustardhold.commands.check import run_check
-from mustardhold.commands.check_configuration import run_check_configuration
 from mustardhold.commands.data_centres import run_data_centre
 from mustardhold.commands.edits import run_edit
 from mustardhold.commands.explain import run_explain
@@ -16,6 +17,18 @@
 from mustardhold.commands.status import run_status
 from mustardhold.commands.trace import run_trace
 
+
+def run_check_configuration(arguments: argparse.Namespace) -> int:
+    """Run ``check-configuration``.
+
+    Its modules are imported here, so that they do not delay the start of the
+    balancer and control programs.
+    """
+    module = importlib.import_module('mustardhold.commands.check_configuration')
+    exit_code: int = module.run_check_configuration(arguments)
+    return exit_code
+
+
 COMMANDS = {
     'balancer': run_balancer_program,
     'control': run_control_program,
--- a/src/mustardhold/platform/configuration_differences.py
+++ b/src/mustardhold/platform/configuration_differences.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Iterator, Mapping, Sequence
 from enum import StrEnum
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -11,6 +12,9 @@
 from mustardhold.platform.configurations import (
     Findings,
     WireConfiguration,
+    WireLimits,
+    WireRoute,
+    WireService,
     decode,
 )
 from mustardhold.platform.json_errors import join_place
@@ -122,39 +126,50 @@
 
     The version is left out; it differs between any two.
     """
-    old_fields = with_defaults(old)
-    new_fields = with_defaults(new)
-    for key in merge_keys(old_fields, new_fields):
+    for key in merge_keys(old.fields, new.fields):
+        old_part, new_part = old.fields.get(key), new.fields.get(key)
         if key in ENTRY_LISTS:
-            yield from compare_entries(key, old_fields[key], new_fields[key])
+            yield from compare_entries(key, old_part or (), new_part or ())
         elif key != 'version':
-            base = Difference(Change.CHANGED, key)
             yield from compare_parts(
-                base, old_fields.get(key), new_fields.get(key)
+                Difference(Change.CHANGED, key),
+                with_defaults(key, old_part),
+                with_defaults(key, new_part),
             )
 
 
-def with_defaults(configuration: ReadConfiguration) -> dict[str, Any]:
-    """Return all fields, with defaults where known ones are absent.
+def defaults_of(kind: type[msgspec.Struct]) -> dict[str, Any]:
+    """Return the defaults of the known fields, as they stand in JSON."""
+    return {
+        field.name: list(field.default)
+        if isinstance(field.default, tuple)
+        else field.default
+        for field in msgspec.structs.fields(kind)
+        if not field.required
+    }
+
+
+DEFAULTS_BY_KEY: Mapping[str, Mapping[str, Any]] = MappingProxyType(
+    {
+        'routes': defaults_of(WireRoute),
+        'services': defaults_of(WireService),
+        'limits': defaults_of(WireLimits),
+    }
+)
+
+
+def with_defaults(key: str, part: Any) -> Any:
+    """Return an object with defaults where known fields are absent.
 
     A field that is absent in one version and has its default in the other
     does not differ.
     """
-    # Through JSON, which makes lists of tuples as in the other fields.
-    defaults = msgspec.json.decode(msgspec.json.encode(configuration.wire))
-    fields = configuration.fields
-    complete = {
-        **fields,
-        'limits': {**defaults['limits'], **fields.get('limits', {})},
-    }
-    for key in ENTRY_LISTS:
-        complete[key] = [
-            {**known, **entry}
-            for known, entry in zip(
-                defaults[key], fields.get(key, ()), strict=False
-            )
-        ]
-    return complete
+    defaults = DEFAULTS_BY_KEY.get(key)
+    if defaults is None:
+        return part
+    fields = part or {}
+    # The first mapping gives the order, the last one the values.
+    return {**fields, **defaults, **fields}
 
 
 def merge_keys(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
@@ -175,7 +190,9 @@
             yield Difference(Change.ADDED, place, name, new=entry)
         else:
             base = Difference(Change.CHANGED, place, name)
-            yield from compare_parts(base, known, entry)
+            yield from compare_parts(
+                base, with_defaults(key, known), with_defaults(key, entry)
+            )
     new_names = {entry['name'] for entry in new}
     for name, entry in old_by_name.items():
         if name not in new_names:
