Accept timeouts of any length that the format allows

Cause: routes have a timeout at balancers since servers are chosen by the requests in progress; one of 10^18 ms is valid at control and raised an OverflowError in read_configuration. Change: longer timeouts than some 30 years are read as these. Result: the new test failed before the change with OverflowError, and passes.

--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -30,13 +30,13 @@
 # Control and balancers exchange versions as integers of 64 bits.
 MAX_VERSION = 2**63 - 1
 # Some 30 years; a ``timedelta`` overflows at 80,000 times that.
-MAX_LATENCY_MS = 1_000_000_000_000
+MAX_DURATION_MS = 1_000_000_000_000
 READ_PATH = '/api/configuration/get'
 
 Positive = Annotated[int, msgspec.Meta(gt=0)]
 Version = Annotated[int, msgspec.Meta(gt=0, le=MAX_VERSION)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
-Latency = Annotated[float, msgspec.Meta(ge=0, le=MAX_LATENCY_MS)]
+Latency = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 Priority = Annotated[int, msgspec.Meta(ge=0)]
 DEFAULT_IDLE_MS = 15_000
 MAX_PORT = 65_535
@@ -253,7 +253,8 @@
                 targets_of(route),
                 route.priority,
                 timedelta(milliseconds=route.target_latency_ms),
-                timedelta(milliseconds=route.timeout_ms),
+                # A longer timeout is valid and means the same.
+                timedelta(milliseconds=min(route.timeout_ms, MAX_DURATION_MS)),
             )
     limits = {
         service.name: ServiceLimits(service.name, service.cold_per_s)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -277,6 +277,13 @@
     assert [finding.place for finding in unknown] == findings
 
 
+def test_very_long_timeout_does_not_stop_the_balancers():
+    """A valid document that raised at every balancer would end the service."""
+    document = validate_document(body(route(timeout_ms=10**18))).value
+    (read,) = read_configuration(document).value.routes_by_address.values()
+    assert read.timeout.days > 10_000
+
+
 def split_route(**weights):
     """Return a route that splits its flows among services by weight."""
     targets = [
