Answer an edit whose index an earlier one had

Cause: at the end of its wait, an edit removed whatever waited at its index, as orders did before; a leader that loses its role and regains it may use an index twice, and the later edit was answered as unknown. Change: edits and orders share the wait, which removes only its own entry. Result: the new test failed before the change, and passes.

--- a/src/mustardhold/daemons/control_edits.py
+++ b/src/mustardhold/daemons/control_edits.py
@@ -4,8 +4,6 @@
 from http import HTTPStatus
 from urllib.parse import urlencode
 
-import trio
-
 from mustardhold.adapters.http_app import (
     MAX_BODY_BYTES,
     HandlerRequest,
@@ -21,6 +19,7 @@
 )
 from mustardhold.adapters.json_body import read_json
 from mustardhold.daemons.edit_statuses import status_for
+from mustardhold.daemons.proposals import wait_pending
 from mustardhold.daemons.replica_node import (
     AnyOutcome,
     PendingProposal,
@@ -77,11 +76,11 @@
         return await forward_edit(node, proposed.leader, request)
     if not isinstance(proposed, Pending):
         return edit_reply(proposed)
-    with trio.move_on_after(EDIT_TIMEOUT.total_seconds()):
-        await pending.done.wait()
-    node.proposals_by_index.pop(proposed.index, None)
-    record_outcome(node, pending.outcome, node.clock.monotonic() - started_at)
-    return edit_reply(pending.outcome)
+    outcome = await wait_pending(
+        node, proposed, pending, EDIT_TIMEOUT.total_seconds()
+    )
+    record_outcome(node, outcome, node.clock.monotonic() - started_at)
+    return edit_reply(outcome)
 
 
 def propose(
--- a/src/mustardhold/daemons/proposals.py
+++ b/src/mustardhold/daemons/proposals.py
@@ -104,7 +104,19 @@
         return NoQuorum(None)
     if not isinstance(proposed, Pending):
         return proposed
-    with trio.move_on_after(CONFIGURATION_TIMEOUT.total_seconds()):
+    return await wait_pending(
+        node, proposed, pending, CONFIGURATION_TIMEOUT.total_seconds()
+    )
+
+
+async def wait_pending(
+    node: ReplicaNode,
+    proposed: Pending,
+    pending: PendingProposal,
+    seconds: float,
+) -> AnyOutcome:
+    """Wait until an appended entry is committed or the timeout ends."""
+    with trio.move_on_after(seconds):
         await pending.done.wait()
     # A later proposal may have the same index, if this replica lost its role.
     if node.proposals_by_index.get(proposed.index) is pending:
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -3,12 +3,15 @@
 import errno
 import logging
 
+import msgspec
 import pytest
 
 from mustardhold.adapters import record_files
 from mustardhold.adapters.clock import SystemClock
+from mustardhold.adapters.http_app import HandlerRequest
 from mustardhold.adapters.replica_store import open_store
-from mustardhold.daemons import replica_node
+from mustardhold.daemons import control_edits, replica_node
+from mustardhold.daemons.replica_node import PendingProposal
 from mustardhold.systems import consensus
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.consensus import (
@@ -16,11 +19,12 @@
     ConfigurationCommand,
     LogEntry,
     NoOp,
+    Pending,
     ReplicaMember,
     Role,
 )
 from mustardhold.tables.options import ControlOptions
-from mustardhold.tables.routing import Accepted, Unknown
+from mustardhold.tables.routing import Accepted, Edit, EntryKind, Unknown
 
 
 @pytest.fixture
@@ -127,3 +131,19 @@
         )
     assert node.stopping.is_set()
     await replica_node.run_replica(node)
+
+
+async def test_end_of_an_edit_leaves_a_later_edit_at_its_index(
+    node, monkeypatch
+):
+    """Guards against a later edit that is committed but never answered."""
+    earlier, later = PendingProposal(1), PendingProposal(3)
+    earlier.done.set()
+    node.proposals_by_index[5] = later
+    monkeypatch.setattr(
+        control_edits, 'propose', lambda *_: (Pending(5, 1), earlier)
+    )
+    edit = Edit('e-1', EntryKind.ROUTE, 'shop', 0)
+    request = HandlerRequest({}, msgspec.json.encode(edit))
+    await control_edits.handle_edit(node, request)
+    assert node.proposals_by_index == {5: later}
