Keep small pools level and record the flows of servers that underreport

- Flows of settled buckets are in no record, so only the server's report counts them.
- Once most buckets open at their assigned server again, the hash decides.
With 234 flows a server the largest of seven is about 9 % above the mean by chance, and a plan corrects it only 3 to 6 s later.

Change: a bucket does not settle, and starts moving, while its server reports less than nine tenths of the flows held there. In pools with 50 to 900 flows a server, a share of 3 / sqrt(n) of each server's buckets opens elsewhere; a number of buckets close to the one needed is kept, so that a steady pool gets no new versions.

--- a/src/mustardhold/systems/placement.py
+++ b/src/mustardhold/systems/placement.py
@@ -23,6 +23,7 @@
 from mustardhold.systems.placement_criteria import (
     PoolState,
     buckets_to_move,
+    buckets_to_record,
     pool_state,
     usable_servers,
 )
@@ -129,7 +130,10 @@
     """Mark more buckets as moving, which is safe at any version."""
     state = pool_state(tables, usable_servers(tables, pool))
     to_move = buckets_to_move(pool, placement, state)
-    return msgspec.structs.replace(placement, moving=placement.moving | to_move)
+    to_record = buckets_to_record(placement, state)
+    return msgspec.structs.replace(
+        placement, moving=placement.moving | to_move | to_record
+    )
 
 
 def advance_placement(
@@ -138,18 +142,20 @@
     """Advance each bucket by at most one step between settled and moving."""
     state = pool_state(tables, usable_servers(tables, pool))
     to_move = buckets_to_move(pool, placement, state)
+    to_record = buckets_to_record(placement, state)
     flows_elsewhere = flows_elsewhere_by_bucket(tables, pool.name)
     settled = {
         bucket
         for bucket in placement.moving
         if bucket not in to_move
+        and bucket not in to_record
         and bucket not in placement.may_open_elsewhere
         and flows_elsewhere.get(bucket) == 0
     }
     return Placement(
         pool.name,
         replace_empty_servers(tables, placement, state, to_move),
-        (placement.moving | to_move) - settled,
+        (placement.moving | to_move | to_record) - settled,
         # Buckets that were not moving before may open elsewhere a step later.
         placement.moving & to_move,
     )
--- a/src/mustardhold/systems/placement_criteria.py
+++ b/src/mustardhold/systems/placement_criteria.py
@@ -1,10 +1,12 @@
 """Selects the buckets of a pool that must leave their assigned server."""
 
+import math
 from collections import defaultdict
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from mustardhold.systems.bucket_assignment import fair_counts
+from mustardhold.systems.capacity import flows_held_by_group
 from mustardhold.systems.routing import eligible_servers
 from mustardhold.systems.server_selection import utilisation
 from mustardhold.tables.backends import KnownBackend
@@ -18,7 +20,16 @@
 OVERLOAD = 1.06
 NO_LONGER_OVERLOAD = 1.02
 MIN_FLOWS_PER_SERVER = 50
+MIN_FLOWS_ONCE_MOVED = 45
 MOVED_PER_EXCESS = 6
+MIN_REPORTED_SHARE = 0.9
+# Hashing n flows a server deviates from the mean by sqrt(n) (one standard
+# deviation). Three of them stay within the limits below for large pools only.
+CHANCE_DEVIATIONS = 3
+MAX_CHANCE = 0.1
+NO_LONGER_CHANCE = 0.09
+# Keeps small changes of the number of flows from moving buckets.
+SPARE_BUCKETS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,12 +42,15 @@
         Utilisation of each server that may receive new flows.
     mean_utilisation
         Utilisation of all of them together.
+    underreporting
+        Servers that report fewer flows than the balancers hold on them.
     """
 
     utilisation_by_id: Mapping[str, float]
     limit_by_id: Mapping[str, int]
     mean_utilisation: float
     mean_flows: float
+    underreporting: frozenset[str]
 
 
 def usable_servers(tables: BalancerTables, pool: Pool) -> list[KnownBackend]:
@@ -70,11 +84,43 @@
         for backend_id, limit in limit_by_id.items()
     )
     total = sum(limit_by_id.values())
+    mean_flows = flows / max(len(servers), 1)
+    underreporting = frozenset(
+        server.announced.backend_id
+        for server in servers
+        if mean_flows >= MIN_FLOWS_PER_SERVER
+        and is_underreporting(tables, server)
+    )
     return PoolState(
         utilisation_by_id,
         limit_by_id,
         flows / max(total, 1),
-        flows / max(len(servers), 1),
+        mean_flows,
+        underreporting,
+    )
+
+
+def is_underreporting(tables: BalancerTables, server: KnownBackend) -> bool:
+    """Return whether a report falls short of the flows held on a server.
+
+    A report is up to a few announcements older than the count of held flows,
+    so a small difference is normal while a pool fills up.
+    """
+    held = flows_held_by_group(tables, server)
+    return server.announced.connections < held * MIN_REPORTED_SHARE
+
+
+def buckets_to_record(placement: Placement, state: PoolState) -> frozenset[int]:
+    """Select the buckets whose flows must be recorded, at least.
+
+    A settled bucket has no records, so only its server's report tells how many
+    flows it has. The flows of a server that underreports are counted by their
+    records instead.
+    """
+    return frozenset(
+        bucket
+        for bucket, server_id in enumerate(placement.assigned_servers)
+        if server_id in state.underreporting
     )
 
 
@@ -92,9 +138,7 @@
     for server_id, assigned in buckets_by_server.items():
         buckets = order_moving_first(placement, assigned)
         surplus = len(buckets) - fair_share.get(server_id, 0)
-        required = count_buckets_to_move(
-            server_id, buckets, placement.may_open_elsewhere, state
-        )
+        required = count_buckets_to_move(server_id, buckets, placement, state)
         selected.update(buckets[: max(surplus, required)])
     return frozenset(selected)
 
@@ -116,24 +160,55 @@
 def count_buckets_to_move(
     server_id: str,
     buckets: Sequence[int],
-    may_open_elsewhere: Collection[int],
+    placement: Placement,
     state: PoolState,
 ) -> int:
     """Count how many of a server's buckets to move for its utilisation."""
     used = state.utilisation_by_id.get(server_id)
     if used is None:
         return len(buckets)
-    moved_count = sum(bucket in may_open_elsewhere for bucket in buckets)
+    moved_count = len(placement.may_open_elsewhere.intersection(buckets))
     all_moved = moved_count == len(buckets)
     full = NO_LONGER_FULL if all_moved else NEAR_FULL
     if used >= full:
         return len(buckets)
-    if state.mean_flows < MIN_FLOWS_PER_SERVER:
+    min_flows = MIN_FLOWS_ONCE_MOVED if moved_count else MIN_FLOWS_PER_SERVER
+    if state.mean_flows < min_flows:
         return 0
+    moving_count = len(placement.moving.intersection(buckets))
+    least = count_for_chance(
+        state.mean_flows, len(buckets), (moving_count, moved_count)
+    )
     excess = used / state.mean_utilisation
     if excess <= NO_LONGER_OVERLOAD:
-        return 0
+        return least
     if excess < OVERLOAD:
-        return moved_count
+        return max(least, moved_count)
     needed = int((excess - 1) * MOVED_PER_EXCESS * len(buckets)) + 1
-    return min(max(needed, moved_count), len(buckets))
+    return min(max(needed, least, moved_count), len(buckets))
+
+
+def count_for_chance(
+    mean_flows: float, assigned_count: int, current_counts: tuple[int, ...]
+) -> int:
+    """Count how many buckets to move to compensate for an uneven hash.
+
+    With few flows a server, their numbers differ by chance faster than the
+    steps of a placement correct it. The moved share of the openings equals the
+    deviation that it has to compensate for.
+
+    Parameters
+    ----------
+    current_counts
+        Numbers of buckets that are moving, and that may open elsewhere; the
+        first of them that is close to the number needed is kept.
+    """
+    chance = CHANCE_DEVIATIONS / math.sqrt(mean_flows)
+    limit = NO_LONGER_CHANCE if any(current_counts) else MAX_CHANCE
+    if chance <= limit:
+        return 0
+    needed = math.ceil(chance * assigned_count)
+    for count in current_counts:
+        if needed <= count <= needed + SPARE_BUCKETS:
+            return count
+    return min(needed, assigned_count)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -231,6 +231,53 @@
     assert moved <= group.buckets_at(placement, 's1')
 
 
+@pytest.mark.parametrize(
+    ('connections', 'share'), [(30, 0), (100, 0.3), (400, 0.15), (1200, 0)]
+)
+def test_small_pool_opens_a_share_of_its_flows_elsewhere(connections, share):
+    """Guards against an uneven hash that is corrected too late."""
+    group = Group()
+    group.run_steps(7)
+    for name in group.servers:
+        group.servers[name] = {'connections': connections}
+    placement = group.run_steps(3)
+    for name in group.servers:
+        buckets = group.buckets_at(placement, name)
+        moved = len(buckets & placement.may_open_elsewhere)
+        assert share * len(buckets) <= moved <= share * len(buckets) + 1
+
+
+def test_small_changes_of_load_move_no_bucket():
+    """Guards against a new version at each plan of a steady small pool."""
+    group = Group()
+    group.run_steps(7)
+    versions = set()
+    for number in range(12):
+        for name in group.servers:
+            group.servers[name] = {'connections': 100 - number % 2 * 8}
+        group.step()
+        if number > 3:
+            versions.add(group.tables.placements.version)
+    assert len(versions) == 1
+
+
+def test_flows_of_a_server_that_reports_too_few_are_recorded():
+    """Guards against flows that neither a record nor a report counts."""
+    group = Group()
+    group.run_steps(7)
+    for name in group.servers:
+        group.servers[name] = {'connections': 1600}
+    group.servers['s1'] = {'connections': 80}
+    group.tables.backends_by_id['s1'].held_flows = 100
+    placement = group.run_steps(3)
+    buckets = group.buckets_at(placement, 's1')
+    assert placement.moving >= buckets
+    assert not placement.may_open_elsewhere & buckets
+    group.servers['s1'] = {'connections': 1600}
+    placement = group.run_steps(3)
+    assert not placement.moving & buckets
+
+
 def test_records_of_settled_buckets_are_dropped():
     group = Group()
     placement = group.run_steps(4)
