Drop a command's output once its reader has closed it

Cause: check-configuration with thousands of differences piped into head ended with the traceback of a BrokenPipeError. Change: print_line, which all commands use, drops further lines. The new test in test_commands fails with the earlier print_line.

--- a/src/mustardhold/commands/output.py
+++ b/src/mustardhold/commands/output.py
@@ -1,5 +1,6 @@
 """Terminal output and exit codes of the commands."""
 
+import os
 import sys
 from collections.abc import Iterable
 
@@ -9,8 +10,15 @@
 
 
 def print_line(line: object) -> None:
-    """Write a line to standard output."""
-    sys.stdout.write(f'{line}\n')
+    """Write a line to standard output.
+
+    Once its reader has closed it, as ``head`` does, further lines are dropped,
+    and the command ends with the exit code that it would have had.
+    """
+    try:
+        sys.stdout.write(f'{line}\n')
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
 
 
 def print_error(line: object) -> None:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,5 +1,7 @@
 """Tests of the operator's commands with simulated responses of a fleet."""
 
+import os
+import sys
 from datetime import UTC, datetime, timedelta
 
 import msgspec
@@ -8,6 +10,7 @@
 from mustardhold.cli import main
 from mustardhold.commands import explain, status
 from mustardhold.commands.edits import report_outcome
+from mustardhold.commands.output import print_line
 from mustardhold.tables.outcomes import Err, Ok
 from mustardhold.tables.routing import (
     Accepted,
@@ -134,3 +137,12 @@
     )
     assert main(['control', '--settings', str(path)]) == 1
     assert 'cannot run' in capsys.readouterr().err
+
+
+def test_output_is_dropped_once_its_reader_has_closed_it(monkeypatch):
+    """Piped into head, a long output ended with a traceback."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    with os.fdopen(writer, 'w', buffering=1) as closed:
+        monkeypatch.setattr(sys, 'stdout', closed)
+        print_line('dropped')
