--- a/src/mustardhold/daemons/token_metrics.py
+++ b/src/mustardhold/daemons/token_metrics.py
@@ -49,7 +49,7 @@
         ),
     ]
     gauges.extend(make_admission_gauges(tables))
-    gauges.extend(make_load_gauges(tables.answers.load))
+    gauges.extend(make_load_gauges(tables.answers.load, now))
     if balancer.link is not None:
         gauges.extend(make_link_gauges(balancer.link.queue))
     return MetricsSnapshot(
--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -5,13 +5,20 @@
 part. More servers are considered only while the preferred ones are loaded.
 """
 
+import math
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import islice
 from typing import NamedTuple
 
+import xxhash
+
 from mustardhold.systems.outlier_avoidance import is_avoided
 from mustardhold.systems.server_load import expire_load, load_of
-from mustardhold.systems.server_ranking import distance, rank_servers
+from mustardhold.systems.server_ranking import (
+    HASH_RANGE,
+    distance,
+    rank_servers,
+)
 from mustardhold.systems.service_routes import timed_routes_by_service
 from mustardhold.tables.constants import OPENING_ANSWER_TIMEOUT
 from mustardhold.tables.directory import KnownServer
@@ -28,6 +35,10 @@
 # sees too small a part of the load of each.
 PREFERRED_SERVERS = 6
 ADDED_SERVERS = 4
+# A server that many balancers prefer at once gets more than its share, so each
+# balancer prefers others after this time, which evens the shares out. A shorter
+# time lets a balancer send more requests to servers that do not answer.
+PREFERENCE_SECONDS = 1.0
 
 
 class RatedServer(NamedTuple):
@@ -41,6 +52,7 @@
 
 def prefer_servers(
     tables: ForwardingTables,
+    now: float,
     service: str,
     everywhere: ServerRanking,
     local: ServerRanking,
@@ -61,10 +73,14 @@
     if service not in load.services:
         return None
     members = tuple(members_of(everywhere))
+    phase = xxhash.xxh3_64_intdigest(tables.name.encode()) / HASH_RANGE
+    term = math.floor(now / PREFERENCE_SECONDS + phase)
+    key = f'{tables.name}/{term}'.encode()
     return PreferredServers(
-        nearest_members(tables.name, members_of(local)),
-        nearest_members(tables.name, members),
+        nearest_members(key, members_of(local)),
+        nearest_members(key, members),
         {member.server.token: member for member in members},
+        (term + 1 - phase) * PREFERENCE_SECONDS,
     )
 
 
@@ -75,13 +91,12 @@
 
 
 def nearest_members(
-    name: str, members: Iterable[WeightedServer]
+    key: bytes, members: Iterable[WeightedServer]
 ) -> tuple[WeightedServer, ...]:
-    """Return the first servers in a balancer's order.
+    """Return the first servers in the order that a key gives.
 
     A slow start changes no order, so that a balancer keeps its servers.
     """
-    key = name.encode()
 
     def distance_of(member: WeightedServer) -> float:
         return distance(key, member.key, member.server.report.slots)
@@ -117,11 +132,11 @@
     subset = preferred.local if is_local else preferred.everywhere
     ranked = sorted(rate_members(load, skip_avoided(tables, now, subset), flow))
     extent = 'preferred'
-    for name, ranking, is_loaded in (
-        ('overflow', servers.local, has_requests),
-        ('remote', servers.everywhere, is_full),
+    for name, ranking in (
+        ('overflow', servers.local),
+        ('remote', servers.everywhere),
     ):
-        if len(ranked) > 1 and not is_loaded(load, ranked[1]):
+        if len(ranked) > 1 and ranked[1].token not in load.requests_by_token:
             break
         others = find_others(tables, now, ranking, flow, ranked)
         added = [preferred.members_by_token[one.token] for one in others]
@@ -162,17 +177,6 @@
         )
 
 
-def has_requests(load: ServerLoad, rated: RatedServer) -> bool:
-    """Return whether a server has any request in flight."""
-    return rated.token in load.requests_by_token
-
-
-def is_full(load: ServerLoad, rated: RatedServer) -> bool:
-    """Return whether a server has a request in flight for each of its slots."""
-    requests = load.requests_by_token.get(rated.token, 0)
-    return requests >= rated.member.server.report.slots
-
-
 def find_others(
     tables: ForwardingTables,
     now: float,
--- a/src/mustardhold/systems/server_load.py
+++ b/src/mustardhold/systems/server_load.py
@@ -113,9 +113,10 @@
     return (REQUEST_LOAD * requests + openings) / member.weight
 
 
-def make_load_gauges(load: ServerLoad | None) -> Iterator[Gauge]:
+def make_load_gauges(load: ServerLoad | None, now: float) -> Iterator[Gauge]:
     """Yield the number of requests in flight, if they are counted."""
     if load is not None:
+        expire_load(load, now)
         yield Gauge(
             'requests_in_flight',
             'Requests of this balancer without any byte of their answer',
--- a/src/mustardhold/systems/service_servers.py
+++ b/src/mustardhold/systems/service_servers.py
@@ -98,22 +98,33 @@
         if server.report.data_centre == tables.data_centre
     ]
     data_centres = {server.report.data_centre for server in servers}
-    local_ranking = make_ranking(local, now, tables.returned_at)
     everywhere = make_ranking(servers, now, tables.returned_at)
     if cold is not None:
         # The end of a slow start changes the others as well.
         everywhere = replace(everywhere, valid_until=cold.ranking.valid_until)
-    preferred = None
-    if cold is None or not cold.is_last_resort:
-        preferred = prefer_servers(tables, service, everywhere, local_ranking)
-    return ServiceServers(
+    prepared = ServiceServers(
         everywhere,
-        local_ranking,
+        make_ranking(local, now, tables.returned_at),
         frozenset(server.token for server in local),
         len(data_centres | {tables.data_centre}),
         cold,
-        preferred,
     )
+    if cold is not None and cold.is_last_resort:
+        return prepared
+    return add_preferred(tables, now, service, prepared)
+
+
+def add_preferred(
+    tables: ForwardingTables, now: float, service: str, servers: ServiceServers
+) -> ServiceServers:
+    """Add the servers that the balancer prefers, if it chooses by load."""
+    everywhere = servers.everywhere
+    preferred = prefer_servers(tables, now, service, everywhere, servers.local)
+    if preferred is None:
+        return servers
+    until = min(everywhere.valid_until, preferred.valid_until)
+    everywhere = replace(everywhere, valid_until=until)
+    return replace(servers, everywhere=everywhere, preferred=preferred)
 
 
 def find_cold(
--- a/src/mustardhold/tables/server_ranking.py
+++ b/src/mustardhold/tables/server_ranking.py
@@ -69,11 +69,14 @@
         For flows within the local data centre's share, and for others.
     members_by_token
         All servers of the service that may get new flows.
+    valid_until
+        When the balancer prefers others; local clock, in seconds.
     """
 
     local: tuple[WeightedServer, ...]
     everywhere: tuple[WeightedServer, ...]
     members_by_token: dict[int, WeightedServer]
+    valid_until: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_load_choice.py
+++ b/tests/test_load_choice.py
@@ -1,11 +1,14 @@
 """Tests the choice of servers by requests in flight, and their counting."""
 
+import logging
 from collections import Counter
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import msgspec
 import pytest
 
+from mustardhold.commands.trace import format_line
+from mustardhold.daemons.decision_logs import log_decision
 from mustardhold.platform.settings import (
     BindAddresses,
     NodeSettings,
@@ -18,6 +21,7 @@
     begin_in_flight,
     count_opening,
     expire_load,
+    make_load_gauges,
 )
 from mustardhold.systems.service_servers import servers_of
 from mustardhold.systems.suspicions import suspect_until
@@ -25,6 +29,7 @@
     decide_packet,
     install_configuration,
 )
+from mustardhold.systems.tracing import LogLine
 from mustardhold.tables.configurations import (
     Configuration,
     RequestKind,
@@ -130,6 +135,20 @@
     assert max(counts.values()) < 50
 
 
+@pytest.mark.parametrize(('balancers', 'count'), [(27, 60), (6, 45)])
+def test_servers_preferred_by_many_balancers_get_more_in_the_long_run(
+    balancers, count
+):
+    counts = Counter()
+    for number in range(balancers):
+        tables = tables_of(count, f'b-{number}')
+        for second in range(60):
+            preferred = servers_of(tables, NOW + second, 'shop').preferred
+            counts.update(one.server.token for one in preferred.local)
+    assert max(counts.values()) <= 1.25 * counts.total() / len(counts)
+    assert len(counts) == count // 3
+
+
 @pytest.mark.parametrize(
     ('requests', 'outcome'), [(1, 'opened-overflow'), (2, 'opened-remote')]
 )
@@ -299,3 +318,22 @@
     tables = make_tables(off)
     assert (tables.answers.load is None) is (switch == 'chooses_by_load')
     assert tables.name == '10.0.0.1'
+
+
+def test_log_line_and_timeline_leave_out_the_loads(caplog):
+    tables = tables_of()
+    keep_busy(tables, subset_of(tables), 3)
+    decision = decide_packet(tables, NOW, packet_of())
+    log = logging.getLogger('balancer')
+    with caplog.at_level(logging.INFO, log.name):
+        log_decision(log, tables, NOW, packet_of(), decision)
+    (record,) = caplog.records
+    # Only this opening, at servers of 2 slots.
+    assert record.loads == [0.5, 0.5]
+    details = {'servers': record.servers, 'loads': record.loads}
+    line = LogLine(
+        datetime(2026, 1, 1, tzinfo=UTC), 'b-1', record.message, details
+    )
+    assert format_line(line).endswith('loads=[0.5, 0.5]')
+    (gauge,) = make_load_gauges(tables.answers.load, NOW)
+    assert gauge.amount == 18
