Hand over dropped requests to the next primary owner

Cause: a request that is forwarded along its owners while the view changes is dropped by an owner with the newer view. Its primary owner restarts it, but not if the bucket has another primary owner in the newer view, so the request ended as unknown at its deadline. An owner that had heard of a newer view but did not have it yet dropped the request without notice.

Change: a primary owner that is no longer one passes ChainDropped on to its successor, which starts the request if it has the same view and no record but of just that start. Chains wait for a view that an owner has heard of.

--- a/src/mustardhold/systems/ownership.py
+++ b/src/mustardhold/systems/ownership.py
@@ -50,6 +50,11 @@
     return max(fence, tables.view.epoch)
 
 
+def is_view_outdated(tables: BalancerTables) -> bool:
+    """Return whether a message has shown that there is a newer view."""
+    return highest_known_epoch(tables) > tables.view.epoch
+
+
 def raise_fence(tables: BalancerTables, epoch: int) -> bool:
     """Stop acting on the current view if a message has a newer epoch.
 
--- a/src/mustardhold/systems/request_chain.py
+++ b/src/mustardhold/systems/request_chain.py
@@ -17,6 +17,7 @@
 from mustardhold.systems.ownership import (
     awaits_first_lease,
     is_lease_live,
+    is_view_outdated,
 )
 from mustardhold.systems.request_history import (
     has_complete_history,
@@ -47,6 +48,10 @@
     update_owner_history(tables, now)
     # A stopping balancer still forwards: the other owners store requests too.
     may_act = tables.is_stopping or is_lease_live(tables, now)
+    if not may_act and is_view_outdated(tables):
+        # Whether this owner has never forwarded it is certain in that view.
+        hold_message(tables, now, chain)
+        return
     if chain.epoch != tables.view.epoch or not may_act:
         drop_chain(tables, chain, outbox)
         return
--- a/src/mustardhold/tables/request_messages.py
+++ b/src/mustardhold/tables/request_messages.py
@@ -41,12 +41,17 @@
 class ChainDropped(msgspec.Struct, array_like=True, tag=84, frozen=True):
     """Notifies a primary owner that an owner dropped its request.
 
+    A primary owner that is no longer one passes the message on to its
+    successor, which then starts the request.
+
     Attributes
     ----------
     epoch
-        Epoch of the newer view that made the sender drop the request.
+        Epoch of the sender's view, which is newer than that of the chain.
     chain
-        The chain as received by the sender, which has no record of the request.
+        The chain as received by the owner that dropped it, which has no record
+        of the request. Its ``starter_id`` is not the receiver if the message
+        was passed on.
     """
 
     epoch: int
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -254,6 +254,60 @@
     assert send_request(group, make_request(), 0.3) == []
 
 
+@pytest.mark.parametrize('position', [1, 2])
+def test_a_dropped_request_is_handed_over_to_the_next_primary_owner(position):
+    """Guards against an unknown outcome when a primary owner leaves."""
+    group = make_group()
+    leaving = group[OWNERS[0]]
+    leaving.membership = Membership(1, {}, (), 0, active_at=0)
+    rest = [name for name in NAMES if name != OWNERS[0]]
+    change_view(group[OWNERS[position]], 2, rest)
+    assert send_request(group, make_request(), 0.1) == []
+    for name in NAMES:
+        change_view(group[name], 2, rest)
+    outbox = []
+    replay_held_packets(leaving, 0.2, outbox)
+    [handed_over] = outbox
+    sent = deliver_messages(group, outbox, 0.2)
+    assert [type(one) for one in sent] == [ToBackend]
+    # Neither a late copy of the message nor the caller makes it run again.
+    assert deliver_messages(group, [handed_over], 0.3) == []
+    next_primary = group[handed_over.instance_id]
+    known = next_primary.backends_by_id['s1']
+    handle_request(next_primary, 0.3, make_request(), known, outbox)
+    assert deliver_messages(group, outbox, 0.3) == []
+
+
+def test_a_request_handed_over_for_another_view_is_not_started():
+    """Guards against a start by two primary owners of different views."""
+    group = make_group()
+    chain = RequestChain(
+        1, make_request(), 'werkstatt', 's1', '', True, (), OWNERS[0]
+    )
+    rest = [name for name in NAMES if name != OWNERS[0]]
+    for name in NAMES:
+        change_view(group[name], 3, rest)
+    outbox = []
+    next_primary = group[select_owners(bucket_of(FLOW), rest)[0]]
+    handle_request_message(next_primary, 0.2, ChainDropped(2, chain), outbox)
+    assert outbox == []
+
+
+def test_a_chain_waits_for_a_newer_view_that_an_owner_has_heard_of():
+    """Guards against a chain that is dropped without notice."""
+    group = make_group()
+    owner = group[OWNERS[1]]
+    owner.membership = Membership(1, {}, (), 0, active_at=0)
+    owner.membership.fence_epoch = 2
+    assert send_request(group, make_request(), 0.1) == []
+    for name in NAMES:
+        change_view(group[name], 2, NAMES)
+    outbox = []
+    replay_held_packets(owner, 0.2, outbox)
+    sent = deliver_messages(group, outbox, 0.2)
+    assert [type(one) for one in sent] == [ToBackend]
+
+
 def test_a_dropped_request_that_the_last_owner_has_sent_stays_stopped():
     group = make_group()
     primary, last = group[OWNERS[0]], group[OWNERS[2]]
