Change the preferred servers without ranking all servers again

Cause: preferred servers change every second, and with them all servers of the service were prepared and hashed again: 2.3 ms for 600 servers, 15.7 ms for 3,000. Change: they are the first in the grouped ranking by the balancer's key, and the rankings stay.

--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -51,13 +51,9 @@
 
 
 def prefer_servers(
-    tables: ForwardingTables,
-    now: float,
-    service: str,
-    everywhere: ServerRanking,
-    local: ServerRanking,
+    tables: ForwardingTables, now: float, service: str, servers: ServiceServers
 ) -> PreferredServers | None:
-    """Return the servers that this balancer prefers.
+    """Return the servers that this balancer prefers for a time.
 
     Returns
     -------
@@ -72,36 +68,35 @@
         load.services = frozenset(timed_routes_by_service(configuration))
     if service not in load.services:
         return None
-    members = tuple(members_of(everywhere))
+    previous = servers.preferred
+    members_by_token = (
+        index_members(servers.everywhere)
+        if previous is None
+        else previous.members_by_token
+    )
     phase = xxhash.xxh3_64_intdigest(tables.name.encode()) / HASH_RANGE
     term = math.floor(now / PREFERENCE_SECONDS + phase)
     key = f'{tables.name}/{term}'.encode()
+
+    def first_members(ranking: ServerRanking) -> tuple[WeightedServer, ...]:
+        ranked = islice(rank_servers(ranking, key), PREFERRED_SERVERS)
+        return tuple(members_by_token[server.token] for server in ranked)
+
     return PreferredServers(
-        nearest_members(key, members_of(local)),
-        nearest_members(key, members),
-        {member.server.token: member for member in members},
+        first_members(servers.local),
+        first_members(servers.everywhere),
+        members_by_token,
         (term + 1 - phase) * PREFERENCE_SECONDS,
     )
 
 
-def members_of(ranking: ServerRanking) -> Iterator[WeightedServer]:
-    """Yield the servers of a ranking."""
-    for group in ranking.groups:
-        yield from group.members
-
-
-def nearest_members(
-    key: bytes, members: Iterable[WeightedServer]
-) -> tuple[WeightedServer, ...]:
-    """Return the first servers in the order that a key gives.
-
-    A slow start changes no order, so that a balancer keeps its servers.
-    """
-
-    def distance_of(member: WeightedServer) -> float:
-        return distance(key, member.key, member.server.report.slots)
-
-    return tuple(sorted(members, key=distance_of)[:PREFERRED_SERVERS])
+def index_members(ranking: ServerRanking) -> dict[int, WeightedServer]:
+    """Return the servers of a ranking by their tokens."""
+    return {
+        member.server.token: member
+        for group in ranking.groups
+        for member in group.members
+    }
 
 
 def choose_by_load(
--- a/src/mustardhold/systems/service_servers.py
+++ b/src/mustardhold/systems/service_servers.py
@@ -26,7 +26,8 @@
     """Return a service's servers that may get new flows, prepared for ranking.
 
     They are prepared again after a change of any server, evacuation or
-    configuration, and when the weight of a server changes.
+    configuration, and when the weight of a server changes. The preferred ones
+    change at intervals.
     """
     directory = tables.directory
     revisions = (
@@ -42,7 +43,11 @@
     prepared = tables.index.prepared_by_service.get(service)
     if prepared is None or now >= prepared.everywhere.valid_until:
         prepared = prepare_servers(tables, now, service)
-        tables.index.prepared_by_service[service] = prepared
+    elif prepared.preferred is None or now < prepared.preferred.valid_until:
+        return prepared
+    else:
+        prepared = add_preferred(tables, now, service, prepared)
+    tables.index.prepared_by_service[service] = prepared
     return prepared
 
 
@@ -118,13 +123,8 @@
     tables: ForwardingTables, now: float, service: str, servers: ServiceServers
 ) -> ServiceServers:
     """Add the servers that the balancer prefers, if it chooses by load."""
-    everywhere = servers.everywhere
-    preferred = prefer_servers(tables, now, service, everywhere, servers.local)
-    if preferred is None:
-        return servers
-    until = min(everywhere.valid_until, preferred.valid_until)
-    everywhere = replace(everywhere, valid_until=until)
-    return replace(servers, everywhere=everywhere, preferred=preferred)
+    preferred = prefer_servers(tables, now, service, servers)
+    return replace(servers, preferred=preferred)
 
 
 def find_cold(
