Read controls_admission from the platform's settings

Cause: admission control could not be turned off there, though its page says so. Change: the setting is read beside the two other switches. Result: the new case of the test failed before the change, and passes.

--- a/src/mustardhold/platform/settings.py
+++ b/src/mustardhold/platform/settings.py
@@ -80,6 +80,8 @@
     shares_evidence
         Whether balancers report servers that answer badly, and avoid suspect
         ones.
+    controls_admission
+        Whether balancers refuse openings while a service is overloaded.
     chooses_by_load
         Whether balancers choose servers by the requests in progress.
     """
@@ -97,6 +99,7 @@
     bounds: Bounds = Bounds()
     limits: InstanceLimits = InstanceLimits()
     shares_evidence: bool = True
+    controls_admission: bool = True
     chooses_by_load: bool = True
     zones: object = None
 
@@ -190,5 +193,6 @@
         timedelta(seconds=settings.bounds.grace_period_s),
         max(settings.limits.link_mbps, 0) * BYTES_PER_MEGABIT,
         shares_evidence=settings.shares_evidence,
+        controls_admission=settings.controls_admission,
         chooses_by_load=settings.chooses_by_load,
     )
--- a/tests/test_load_choice.py
+++ b/tests/test_load_choice.py
@@ -300,7 +300,9 @@
     assert_idle(load)
 
 
-@pytest.mark.parametrize('switch', ['chooses_by_load', 'shares_evidence'])
+@pytest.mark.parametrize(
+    'switch', ['chooses_by_load', 'shares_evidence', 'controls_admission']
+)
 def test_switch_of_the_settings_turns_off_another_part(switch):
     settings = NodeSettings('10.0.0.1', 'dc-1', BindAddresses(), (1, 2), ())
     on = read_balancer_options(settings)
