Show the state of every balancer when a deployment does not serve in time

Cause: tests/test_balancer_loss.py failed once at its setup with "balancer-1 is not serving". The wait begins with that balancer, which also waits until all members are in the view, so the message does not tell which one was missing, and the logs were gone with the test's folder. Change: the error gives readiness, version of the table, members, servers and lease of every balancer. With one of two balancers killed, the error showed the other one with a lease of 0.0 and "no status" for the killed one.

--- a/tools/running_deployment.py
+++ b/tools/running_deployment.py
@@ -263,6 +263,21 @@
     return has_lease and has_all_members and len(status.backends) >= servers
 
 
+def describe_balancers(running: RunningDeployment) -> str:
+    """Describe what ``is_serving`` judges, for every balancer."""
+    lines = []
+    for name in running.settings_by_balancer:
+        status = read_status(running.http_address_of(name))
+        lines.append(
+            f'{name}: ready {status.is_ready}, table {status.table_version}, '
+            f'members {status.members}, servers {len(status.backends)}, '
+            f'lease {status.lease_left}'
+            if status
+            else f'{name}: no status'
+        )
+    return '; '.join(lines)
+
+
 def wait_serving(running: RunningDeployment, servers: int) -> None:
     """Wait until every balancer can serve all servers.
 
@@ -275,5 +290,6 @@
     for name in running.settings_by_balancer:
         while not is_serving(running, name, servers):
             if time.monotonic() > deadline:
-                raise TimeoutError(f'{name} is not serving')
+                state = describe_balancers(running)
+                raise TimeoutError(f'{name} is not serving: {state}')
             time.sleep(POLL_SECONDS)
