Send late duplicates of an opening to the servers of the first copy

Cause: duplicates were recognized by openings_by_flow, from which the caller's next packet removes the opening, and which a later attempt overwrites. A duplicate that arrived after the first payload was chosen anew, and as its server had a request in flight by then, it went to two other servers: four servers in all. By hash it goes to the same two. A copy that arrived more than 120 ms after the first one was chosen anew, but not counted at its servers.

Change: the counted openings, which are kept for 120 ms, are found by flow and attempt. Duplicates are told by these, both for the choice and for the count. They are bounded as before (MAX_RECENT_OPENINGS).

Result: three new tests of tests/test_load_choice.py, which failed before the change, pass; tests/test_token_forwarding.py passes. Two tests pass the flow of the opening to count_opening now, and one asserts in addition that the new mapping is emptied.

--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -20,10 +20,9 @@
     rank_servers,
 )
 from mustardhold.systems.service_routes import timed_routes_by_service
-from mustardhold.tables.constants import OPENING_ANSWER_TIMEOUT
 from mustardhold.tables.directory import KnownServer
 from mustardhold.tables.forwarding import Forward, ForwardingTables
-from mustardhold.tables.server_load import ServerLoad
+from mustardhold.tables.server_load import OpeningKey, ServerLoad
 from mustardhold.tables.server_ranking import (
     PreferredServers,
     ServerRanking,
@@ -196,15 +195,17 @@
     flow: bytes,
     attempt: int,
 ) -> list[KnownServer]:
-    """Return the servers of an opening that has just been sent already."""
-    opening = tables.openings_by_flow.get(flow)
-    if opening is None or opening.attempt != attempt:
-        return []
-    if now - opening.sent_at > OPENING_ANSWER_TIMEOUT.total_seconds():
+    """Return the servers of an opening that has just been sent already.
+
+    They are kept apart from ``openings_by_flow``, where the caller's next
+    packet or a later attempt takes the place of the first copy.
+    """
+    load = tables.answers.load
+    if load is None:
         return []
-    members = (
-        preferred.members_by_token.get(token) for token in opening.tokens
-    )
+    expire_load(load, now)
+    tokens = load.tokens_by_opening.get(OpeningKey(flow, attempt), ())
+    members = (preferred.members_by_token.get(token) for token in tokens)
     return [
         one.server
         for one in members
--- a/src/mustardhold/systems/outlier_avoidance.py
+++ b/src/mustardhold/systems/outlier_avoidance.py
@@ -23,6 +23,7 @@
     RecentOpening,
     ServerResponsiveness,
 )
+from mustardhold.tables.server_load import OpeningKey
 
 
 def record_opening(
@@ -37,9 +38,9 @@
     if previous is not None:
         opening.first_sent_at = previous.first_sent_at
     tables.openings_by_flow[flow] = opening
-    is_duplicate = previous is not None and previous.attempt == opening.attempt
-    if tables.answers.load is not None and not is_duplicate:
-        count_opening(tables.answers.load, opening.sent_at, opening.tokens)
+    if tables.answers.load is not None:
+        key = OpeningKey(flow, opening.attempt)
+        count_opening(tables.answers.load, opening.sent_at, key, opening.tokens)
     tables.pending_openings.append((opening.sent_at, flow))
 
 
--- a/src/mustardhold/systems/server_load.py
+++ b/src/mustardhold/systems/server_load.py
@@ -20,7 +20,7 @@
     MAX_COUNTED_REQUESTS,
     MAX_LOADED_SERVERS,
     MAX_REQUEST_SECONDS,
-    CountedOpening,
+    OpeningKey,
     RequestInFlight,
     ServerLoad,
 )
@@ -64,16 +64,18 @@
 
 
 def count_opening(
-    load: ServerLoad, now: float, tokens: tuple[int, ...]
+    load: ServerLoad, now: float, opening: OpeningKey, tokens: tuple[int, ...]
 ) -> None:
-    """Count an opening at each of its servers."""
+    """Count an opening at each of its servers, unless it is a duplicate."""
     expire_load(load, now)
-    if len(load.recent_openings) >= MAX_RECENT_OPENINGS:
+    is_duplicate = opening in load.tokens_by_opening
+    if is_duplicate or len(load.recent_openings) >= MAX_RECENT_OPENINGS:
         return
     counted = tuple(
         token for token in tokens if count_up(load.openings_by_token, token)
     )
-    load.recent_openings.append(CountedOpening(now, counted))
+    load.tokens_by_opening[opening] = counted
+    load.recent_openings.append((now, opening))
 
 
 def count_up(counts: dict[int, int], token: int) -> bool:
@@ -95,8 +97,9 @@
 def expire_load(load: ServerLoad, now: float) -> None:
     """Count requests and openings no more that are older than their limits."""
     openings = load.recent_openings
-    while openings and openings[0].sent_at <= now - OPENING_SECONDS:
-        for token in openings.popleft().tokens:
+    while openings and openings[0][0] <= now - OPENING_SECONDS:
+        _, opening = openings.popleft()
+        for token in load.tokens_by_opening.pop(opening):
             count_down(load.openings_by_token, token)
     while load.ends and load.ends[0][0] <= now:
         until, flow = heappop(load.ends)
--- a/src/mustardhold/tables/server_load.py
+++ b/src/mustardhold/tables/server_load.py
@@ -20,11 +20,11 @@
     until: float
 
 
-class CountedOpening(NamedTuple):
-    """When an opening was sent, in seconds, and the servers it counts at."""
+class OpeningKey(NamedTuple):
+    """A flow, and the number of times its opening was sent before."""
 
-    sent_at: float
-    tokens: tuple[int, ...]
+    flow: bytes
+    attempt: int
 
 
 @dataclass(slots=True)
@@ -42,7 +42,11 @@
         Heap of the times until which requests are counted, each with its flow.
         Entries stay after the answer.
     recent_openings
-        Openings that count, oldest first.
+        Openings that count, each with the time in seconds at which it was
+        sent; oldest first.
+    tokens_by_opening
+        Servers at which each of them counts. A duplicate goes to these, also
+        after the caller has sent later packets.
     version
         Version of the configuration that ``services`` is derived from.
     services
@@ -53,6 +57,11 @@
     requests_by_token: dict[int, int] = field(default_factory=dict)
     openings_by_token: dict[int, int] = field(default_factory=dict)
     ends: list[tuple[float, bytes]] = field(default_factory=list)
-    recent_openings: deque[CountedOpening] = field(default_factory=deque)
+    recent_openings: deque[tuple[float, OpeningKey]] = field(
+        default_factory=deque
+    )
+    tokens_by_opening: dict[OpeningKey, tuple[int, ...]] = field(
+        default_factory=dict
+    )
     version: int = 0
     services: frozenset[str] = frozenset()
--- a/tests/test_load_choice.py
+++ b/tests/test_load_choice.py
@@ -44,7 +44,11 @@
     Forward,
     ForwardingTables,
 )
-from mustardhold.tables.server_load import MAX_LOADED_SERVERS, ServerLoad
+from mustardhold.tables.server_load import (
+    MAX_LOADED_SERVERS,
+    OpeningKey,
+    ServerLoad,
+)
 
 ADDRESS = ServiceAddress(1, 443)
 NOW = 10.0
@@ -214,7 +218,7 @@
     tables.opening_hedge_share = 0
     subset = subset_of(tables)
     keep_busy(tables, subset[2:])
-    count_opening(tables.answers.load, NOW, (subset[1],))
+    count_opening(tables.answers.load, NOW, OpeningKey(b'', 0), (subset[1],))
     assert open_flow(tables) == subset[:1]
 
 
@@ -290,12 +294,14 @@
 def test_counts_grow_without_bound():
     load = ServerLoad()
     for token in range(MAX_LOADED_SERVERS + 5):
-        count_opening(load, NOW, (token, token + 1))
+        opening = OpeningKey(b'%d' % token, 0)
+        count_opening(load, NOW, opening, (token, token + 1))
         begin_in_flight(load, NOW, b'%d' % token, token, 3)
     assert len(load.openings_by_token) == MAX_LOADED_SERVERS
     assert len(load.requests_by_token) == MAX_LOADED_SERVERS
     expire_load(load, NOW + 0.12)
     assert not load.openings_by_token
+    assert not load.tokens_by_opening
     expire_load(load, NOW + 3)
     assert_idle(load)
 
@@ -333,3 +339,28 @@
     assert format_line(line).endswith('loads=[0.5, 0.5]')
     (gauge,) = make_load_gauges(tables.answers.load, NOW)
     assert gauge.amount == 18
+
+
+def test_duplicate_goes_elsewhere_once_the_caller_has_sent_its_request():
+    tables = tables_of()
+    first = open_flow(tables)
+    send(tables, first[0], NOW + 0.005, length=50)
+    assert open_flow(tables, now=NOW + 0.006) == first
+    assert sum(tables.answers.load.openings_by_token.values()) == 2
+
+
+def test_duplicate_goes_elsewhere_after_a_later_attempt():
+    """Copies that wait while a balancer is suspended arrive all at once."""
+    tables = tables_of()
+    first = open_flow(tables)
+    keep_busy(tables, first)
+    open_flow(tables, now=NOW + 0.05, attempt=1)
+    assert open_flow(tables, now=NOW + 0.06) == first
+    assert sum(tables.answers.load.openings_by_token.values()) == 4
+
+
+def test_opening_that_is_chosen_anew_is_not_counted():
+    tables = tables_of()
+    open_flow(tables)
+    chosen = open_flow(tables, now=NOW + 0.15)
+    assert tables.answers.load.openings_by_token == dict.fromkeys(chosen, 1)
