Keep openings in a data centre whose only server is idle

Cause: with one candidate there is no second best, so servers of all data centres were added and ranked with it. Only excess demand is to leave a data centre.

Change: a sole candidate without requests in flight stays first, and the servers of all data centres only add a second.

--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -133,13 +133,23 @@
         if len(ranked) > 1 and ranked[1].token not in load.requests_by_token:
             break
         others = find_others(tables, now, ranking, flow, ranked)
-        added = [preferred.members_by_token[one.token] for one in others]
+        members = [preferred.members_by_token[one.token] for one in others]
+        added = sorted(rate_members(load, members, flow))
         if added:
             extent = name
-            ranked = sorted((*ranked, *rate_members(load, added, flow)))
+        # Remote servers only give a data centre's sole server a second.
+        if name == 'remote' and is_sole_idle(load, ranked):
+            ranked += added
+        else:
+            ranked = sorted((*ranked, *added))
     return count_choice(tables, extent, ranked)
 
 
+def is_sole_idle(load: ServerLoad, ranked: Sequence[RatedServer]) -> bool:
+    """Return whether there is one server only, without requests in flight."""
+    return len(ranked) == 1 and ranked[0].token not in load.requests_by_token
+
+
 def count_choice(
     tables: ForwardingTables, extent: str, ranked: Sequence[RatedServer]
 ) -> list[KnownServer]:
--- a/tests/test_load_choice.py
+++ b/tests/test_load_choice.py
@@ -364,3 +364,63 @@
     open_flow(tables)
     chosen = open_flow(tables, now=NOW + 0.15)
     assert tables.answers.load.openings_by_token == dict.fromkeys(chosen, 1)
+
+
+def test_openings_leave_the_data_centre_while_its_only_server_is_idle():
+    for port in range(20):
+        tables = tables_of(3)
+        (local,) = subset_of(tables)
+        chosen = open_flow(tables, port)
+        assert chosen[0] == local
+        assert len(chosen) == 2
+        keep_busy(tables, [local])
+        assert local not in open_flow(tables, port + 100)
+
+
+def test_second_copy_goes_to_a_loaded_local_server_beside_an_idle_one():
+    for port in range(20):
+        tables = tables_of()
+        local = servers_of(tables, NOW, 'shop').local_tokens
+        idle = subset_of(tables)[0]
+        keep_busy(tables, local - {idle})
+        assert not set(open_flow(tables, port)) & (local - {idle})
+
+
+@pytest.mark.parametrize('count', [1, 2])
+def test_service_with_fewer_servers_than_wanted_gets_no_opening(count):
+    tables = tables_of(count)
+    for data_centre in CENTRES:
+        tables.data_centre = data_centre
+        tables.index.revisions = (-1, -1, -1, -1)
+        for attempt in range(3):
+            chosen = open_flow(tables, attempt=attempt)
+            assert len(chosen) == len(set(chosen)) == count
+        keep_busy(tables, tables.directory.servers_by_token, 3)
+
+
+@pytest.mark.parametrize('share', [0, 0.5, 1])
+def test_share_of_hedged_openings_differs_by_load(share):
+    tables = tables_of()
+    tables.opening_hedge_share = share
+    # Openings at one time: none has been unanswered for too long.
+    sizes = [len(open_flow(tables, port)) for port in range(400)]
+    # Four standard deviations around the share.
+    allowed = 0.1 if share == 0.5 else 0
+    assert sizes.count(2) / 400 == pytest.approx(share, abs=allowed)
+
+
+def test_change_of_servers_leaves_gone_ones_among_the_preferred():
+    """The preferred servers change between two preparations, too."""
+    tables = tables_of()
+    gone = set()
+    for number in range(30):
+        now = NOW + number * 0.4
+        server = tables.directory.servers_by_id[f'i-{number}']
+        report = msgspec.structs.replace(
+            server.report, sequence=2, state=ServerState.DRAINING
+        )
+        merge_report(tables.directory, now, report)
+        gone.add(server.token)
+        keep_busy(tables, tables.directory.servers_by_token, now=now)
+        for port in range(10):
+            assert not gone & set(open_flow(tables, number * 10 + port, now))
