Name the choices by hash and by load apart, and share the simulated servers

Cause: rank_preferred ranks all usable servers, while "preferred" servers are those of the choice by load; the docstrings of server_choice.py described the choice by hash only. load_fleet.py and evidence_fleet.py each made the servers and occupied their slots.

Change: rank_usable, tokens_of_previous_attempt and `previous` name what they hold; update_services is split off prefer_servers, as in opening_admission.py; add_servers and occupy_slot are shared by the two simulations, whose settings are all documented.

The tests of choice, forwarding, evidence, cold servers, evacuation and tracking pass.

--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -20,6 +20,7 @@
     rank_servers,
 )
 from mustardhold.systems.service_routes import timed_routes_by_service
+from mustardhold.tables.configurations import Configuration
 from mustardhold.tables.directory import KnownServer
 from mustardhold.tables.forwarding import Forward, ForwardingTables
 from mustardhold.tables.server_load import OpeningKey, ServerLoad
@@ -62,17 +63,17 @@
     load, configuration = tables.answers.load, tables.configuration
     if load is None or configuration is None:
         return None
-    if load.version != configuration.version:
-        load.version = configuration.version
-        load.services = frozenset(timed_routes_by_service(configuration))
+    update_services(load, configuration)
     if service not in load.services:
         return None
     previous = servers.preferred
+    # Only the preferred servers change between two preparations.
     members_by_token = (
         index_members(servers.everywhere)
         if previous is None
         else previous.members_by_token
     )
+    # Spreads the changes of all balancers over a term.
     phase = xxhash.xxh3_64_intdigest(tables.name.encode()) / HASH_RANGE
     term = math.floor(now / PREFERENCE_SECONDS + phase)
     key = f'{tables.name}/{term}'.encode()
@@ -89,6 +90,13 @@
     )
 
 
+def update_services(load: ServerLoad, configuration: Configuration) -> None:
+    """Derive the services chosen by load from a new configuration."""
+    if load.version != configuration.version:
+        load.version = configuration.version
+        load.services = frozenset(timed_routes_by_service(configuration))
+
+
 def index_members(ranking: ServerRanking) -> dict[int, WeightedServer]:
     """Return the servers of a ranking by their tokens."""
     return {
@@ -153,7 +161,7 @@
 def count_choice(
     tables: ForwardingTables, extent: str, ranked: Sequence[RatedServer]
 ) -> list[KnownServer]:
-    """Count which servers were considered, and return them."""
+    """Count how far the search for servers went, and return the servers."""
     chosen = [one.member.server for one in ranked]
     if chosen:
         service = chosen[0].report.service
@@ -189,11 +197,12 @@
     ranked: Iterable[RatedServer],
 ) -> Iterator[KnownServer]:
     """Yield a few servers that are not ranked yet, in the flow's order."""
-    known = {one.token for one in ranked}
+    ranked_tokens = {one.token for one in ranked}
     others = (
         server
         for server in rank_servers(ranking, flow)
-        if server.token not in known and not is_avoided(tables, now, server)
+        if server.token not in ranked_tokens
+        and not is_avoided(tables, now, server)
     )
     return islice(others, ADDED_SERVERS)
 
@@ -223,10 +232,10 @@
     ]
 
 
-def tokens_before(
+def tokens_of_previous_attempt(
     tables: ForwardingTables, servers: ServiceServers, flow: bytes, attempt: int
 ) -> tuple[int, ...]:
-    """Return the servers of the attempt before, as far as they are known."""
+    """Return the servers of an earlier attempt, if this balancer sent it."""
     opening = tables.openings_by_flow.get(flow)
     if servers.preferred is None or opening is None:
         return ()
@@ -236,7 +245,10 @@
 def describe_loads(
     tables: ForwardingTables, decision: Forward
 ) -> dict[str, list[float]]:
-    """Return the loads of the servers of an opening, which they include."""
+    """Return the loads of an opening's servers, the opening included.
+
+    A cold server that is limited is not chosen by its load, and gets 0.
+    """
     load = tables.answers.load
     prepared = tables.index.prepared_by_service.get(decision.service)
     if load is None or prepared is None or prepared.preferred is None:
--- a/src/mustardhold/systems/server_choice.py
+++ b/src/mustardhold/systems/server_choice.py
@@ -1,9 +1,9 @@
 """Chooses the servers that an opening of a flow is sent to.
 
-The load is that of many short and long flows over servers with few
-slots: every balancer chooses alike without talking to the others, and each
-server gets its share by slots. Silent servers and those that refuse openings
-are passed over while there are others.
+First openings go by the load that this balancer sees, where that is known for
+the service. All others go by a hash of the flow: every balancer chooses alike
+without talking to the others, and each server gets its share by slots. Silent
+servers and those that refuse openings are passed over while there are others.
 """
 
 from collections.abc import Iterable, Iterator, Sequence
@@ -18,7 +18,7 @@
 from mustardhold.systems.load_choice import (
     choose_by_load,
     servers_of_duplicate,
-    tokens_before,
+    tokens_of_previous_attempt,
 )
 from mustardhold.systems.opening_hedges import ranks_of_attempt
 from mustardhold.systems.outlier_avoidance import avoided_tokens, is_avoided
@@ -46,7 +46,8 @@
 ) -> tuple[KnownServer, ...]:
     """Choose the servers of an opening, or none if the service has none.
 
-    A repeated opening goes to the next servers of the flow's ranking. A
+    A repeated opening goes to the next servers of the flow's ranking, and a
+    duplicate to those of the first copy where servers are chosen by load. A
     refusal by one server ends the opening at the caller, even if the other
     server accepts it, so first attempts skip avoided servers.
 
@@ -61,35 +62,36 @@
         tables, now, servers, flow, ranks
     )
     cold = servers.cold
-    before = tokens_before(tables, servers, flow, attempt)
+    previous = tokens_of_previous_attempt(tables, servers, flow, attempt)
     if cold is None:
-        return take_from(ranked, ranks, before)
+        return take_from(ranked, ranks, previous)
     admitted, is_held_back = admit_cold(tables, now, cold, flow, ranks.stop)
     if is_held_back:
         tables.counters[service, 'held-back-cold'] += 1
     others = [] if cold.is_last_resort else ranked
-    chosen = take_from(admitted + others, ranks, before)
+    chosen = take_from(admitted + others, ranks, previous)
     count_cold(tables, now, cold, chosen)
     return chosen
 
 
 def take_from(
-    ranked: Sequence[KnownServer], ranks: range, before: Sequence[int]
+    ranked: Sequence[KnownServer], ranks: range, previous: Sequence[int]
 ) -> tuple[KnownServer, ...]:
     """Return the servers at some ranks, from the first again after the last.
 
     Parameters
     ----------
-    before
-        Tokens of the servers that are passed over while there are others.
+    previous
+        Tokens of the servers of the attempt before, which are passed over
+        while there are others.
     """
-    if not before:
+    if not previous:
         return tuple(
             ranked[rank % len(ranked)] for rank in ranks[: len(ranked)]
         )
     first = ranks.start % max(len(ranked), 1)
     in_order = [*ranked[first:], *ranked[:first]]
-    in_order.sort(key=lambda server: server.token in before)
+    in_order.sort(key=lambda server: server.token in previous)
     return tuple(in_order[: len(ranks)])
 
 
@@ -127,7 +129,7 @@
     """Return as many servers as some ranks need, in the flow's order."""
     # Those of the attempt before may be passed over.
     considered = ranks.stop + SERVERS_PER_OPENING * bool(ranks.start)
-    usable = rank_preferred(tables, now, servers, flow)
+    usable = rank_usable(tables, now, servers, flow)
     ranked = list(islice(usable, considered))
     if len(ranked) < ranks.stop and (ranks.start or not ranked):
         everything = rank_servers(servers.everywhere, flow)
@@ -135,7 +137,7 @@
     return ranked
 
 
-def rank_preferred(
+def rank_usable(
     tables: ForwardingTables,
     now: float,
     servers: ServiceServers,
--- a/tools/fakes/evidence_fleet.py
+++ b/tools/fakes/evidence_fleet.py
@@ -6,7 +6,7 @@
 
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from heapq import heappop, heappush
@@ -111,20 +111,8 @@
 def play(fleet: Fleet, seconds: float) -> Fleet:
     """Play the load; the fleet holds what happened."""
     run = Play(fleet, random.Random(fleet.seed))
-    for number in range(fleet.servers):
-        report = ServerReport(
-            f'i-{number}',
-            1,
-            1,
-            SERVICE,
-            f'10.0.0.{number}:80',
-            'dc-1',
-            SLOTS,
-            ServerState.READY,
-        )
-        merge_report(fleet.directory, 0, report)
-    run.tokens = list(fleet.directory.servers_by_token)
-    run.free_at = {token: [0 for _ in range(SLOTS)] for token in run.tokens}
+    run.free_at = add_servers(fleet.directory, fleet.servers, ['dc-1'])
+    run.tokens = list(run.free_at)
     run.trackings = [AnswerTracking() for _ in range(fleet.balancers)]
     for index in range(fleet.balancers):
         offset = run.choose.uniform(0, POST_SECONDS)
@@ -136,6 +124,40 @@
     return fleet
 
 
+def add_servers(
+    directory: Directory, servers: int, data_centres: Sequence[str]
+) -> dict[int, list[float]]:
+    """Add idle servers, spread over data centres.
+
+    Returns
+    -------
+    dict
+        When each slot of a server is free, by its token.
+    """
+    for number in range(servers):
+        report = ServerReport(
+            f'i-{number}',
+            1,
+            1,
+            SERVICE,
+            f'10.0.0.{number}:80',
+            data_centres[number % len(data_centres)],
+            SLOTS,
+            ServerState.READY,
+        )
+        merge_report(directory, 0, report)
+    return {
+        token: [0 for _ in range(SLOTS)] for token in directory.servers_by_token
+    }
+
+
+def occupy_slot(slots: list[float], now: float, seconds: float) -> float:
+    """Occupy the slot that is free first; return when its work is done."""
+    slot = min(range(len(slots)), key=slots.__getitem__)
+    slots[slot] = max(slots[slot], now) + seconds
+    return slots[slot]
+
+
 def begin(run: Play, now: float) -> None:
     """Send a request through a balancer to a server that is not suspect."""
     fleet = run.fleet
@@ -174,10 +196,8 @@
         return TIMEOUT_SECONDS, 0
     work = run.choose.expovariate(1 / WORK_SECONDS)
     work *= 5 if fault == 'slow' else 1
-    slots = run.free_at[token]
-    slot = min(range(SLOTS), key=slots.__getitem__)
-    slots[slot] = max(slots[slot], now) + work
-    return ROUND_TRIP_SECONDS + slots[slot] - now, size
+    done_at = occupy_slot(run.free_at[token], now, work)
+    return ROUND_TRIP_SECONDS + done_at - now, size
 
 
 def see(
--- a/tools/fakes/load_fleet.py
+++ b/tools/fakes/load_fleet.py
@@ -1,4 +1,4 @@
-"""A played load in which the callers' data centres differ in demand.
+"""A simulated load in which the callers' data centres differ in demand.
 
 Time is virtual and every draw follows from the seed. Callers, servers and
 links are simple models; the choice of servers, the tracking and the evaluation
@@ -16,7 +16,6 @@
 
 from mustardhold.systems.answer_counts import take_evidence
 from mustardhold.systems.answer_tracking import check_due
-from mustardhold.systems.directory import merge_report
 from mustardhold.systems.evidence_window import add_evidence
 from mustardhold.systems.server_evidence import evaluate_service
 from mustardhold.systems.token_forwarding import (
@@ -24,7 +23,7 @@
     install_configuration,
 )
 from mustardhold.tables.configurations import Configuration, WeightedService
-from mustardhold.tables.directory import Directory, ServerReport, ServerState
+from mustardhold.tables.directory import Directory
 from mustardhold.tables.forwarding import (
     FLOW_ADDRESSES,
     CallerPacket,
@@ -49,6 +48,8 @@
     SLOTS,
     TIMEOUT_SECONDS,
     WORK_SECONDS,
+    add_servers,
+    occupy_slot,
 )
 
 TARGET_SECONDS = ROUTE.target_latency.total_seconds()
@@ -64,7 +65,7 @@
 
 @dataclass(slots=True)
 class LoadFleet:
-    """Settings and results of a play.
+    """Settings and results of a simulation.
 
     Attributes
     ----------
@@ -73,11 +74,19 @@
     fault
         ``slow`` or ``unresponsive``: what the bad servers are while bad.
     event
-        What happens at ``event_at``: ``killed``, ``restarted`` or
-        ``suspended`` (for a second) befalls the first balancer, ``cut-off``
-        the first data centre, for the rest of the play.
+        What happens at ``event_at``: the first balancer is ``killed``,
+        ``restarted`` or ``suspended`` (for a second), or the first data centre
+        is ``cut-off`` until the end.
+    centres, servers, balancers
+        Numbers of data centres, and of servers and balancers in all of them.
+    heeds_health
+        Whether balancers share what they see of servers, and avoid suspects.
+    free_at
+        When each slot of a server is free, by its token.
     seconds_taken
-        Time to the answer by the start of the request; infinite without one.
+        Start of each request, and the time to its answer; infinite without one.
+    asked
+        Requests that were sent to each server, by its token.
     """
 
     by_load: bool = True
@@ -124,24 +133,10 @@
 
 
 def play_load(fleet: LoadFleet, seconds: float) -> LoadFleet:
-    """Play the load for some seconds; the fleet holds the results."""
+    """Simulate the load for some seconds; the fleet holds the results."""
     fleet.queue = make_queue(fleet.seed)
-    for number in range(fleet.servers):
-        report = ServerReport(
-            f'i-{number}',
-            1,
-            1,
-            SERVICE,
-            f'10.0.0.{number}:80',
-            f'dc-{number % fleet.centres}',
-            SLOTS,
-            ServerState.READY,
-        )
-        merge_report(fleet.directory, 0, report)
-    fleet.free_at = {
-        token: [0 for _ in range(SLOTS)]
-        for token in fleet.directory.servers_by_token
-    }
+    data_centres = [f'dc-{number}' for number in range(fleet.centres)]
+    fleet.free_at = add_servers(fleet.directory, fleet.servers, data_centres)
     fleet.tables = [
         make_tables(fleet, number) for number in range(fleet.balancers)
     ]
@@ -341,7 +336,4 @@
         seconds = rng.expovariate(1 / (WORK_SECONDS * mean))
     if is_bad and fleet.fault == 'slow':
         seconds *= SLOW_FACTOR
-    slots = fleet.free_at[token]
-    slot = min(range(SLOTS), key=slots.__getitem__)
-    slots[slot] = max(slots[slot], now) + seconds
-    return slots[slot]
+    return occupy_slot(fleet.free_at[token], now, seconds)
