Count requests in flight at any rate of answered ones

Cause: a request's entry in the heap of time limits stays after its answer, for up to 3 s, and no request was counted while the heap was full. Above 2,730 requests a second (8,192 entries in 3 s), or with a clock that stands still, a balancer took loaded servers for idle.

Change: the limit of 8,192 applies to the requests in flight. The heap holds twice as many entries, at which those of answered requests are removed.

Result: test_answered_requests_keep_others_from_being_counted failed before and passes, as do the tests of forwarding, tracking and evidence.

--- a/src/mustardhold/systems/server_load.py
+++ b/src/mustardhold/systems/server_load.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from mustardhold.tables.constants import (
     MAX_RECENT_OPENINGS,
@@ -19,6 +19,7 @@
 from mustardhold.tables.server_load import (
     MAX_COUNTED_REQUESTS,
     MAX_LOADED_SERVERS,
+    MAX_REQUEST_ENDS,
     MAX_REQUEST_SECONDS,
     OpeningKey,
     RequestInFlight,
@@ -48,14 +49,24 @@
     """Count a request, instead of an earlier one of its flow."""
     expire_load(load, now)
     end_in_flight(load, flow)
-    if len(load.ends) >= MAX_COUNTED_REQUESTS:
+    if len(load.requests_by_flow) >= MAX_COUNTED_REQUESTS:
         return
+    if len(load.ends) >= MAX_REQUEST_ENDS:
+        remove_answered(load)
     if count_up(load.requests_by_token, token):
         until = now + seconds
         load.requests_by_flow[flow] = RequestInFlight(token, until)
         heappush(load.ends, (until, flow))
 
 
+def remove_answered(load: ServerLoad) -> None:
+    """Remove the times of requests that are not in flight any more."""
+    load.ends = [
+        (request.until, flow) for flow, request in load.requests_by_flow.items()
+    ]
+    heapify(load.ends)
+
+
 def end_in_flight(load: ServerLoad, flow: bytes) -> None:
     """Count the request of a flow no more, if it is counted."""
     request = load.requests_by_flow.pop(flow, None)
--- a/src/mustardhold/tables/server_load.py
+++ b/src/mustardhold/tables/server_load.py
@@ -9,6 +9,9 @@
 
 MAX_LOADED_SERVERS: Final = 4_096
 MAX_COUNTED_REQUESTS: Final = 8_192
+# At this number at least half are of requests that have been answered, so that
+# their removal costs little for each.
+MAX_REQUEST_ENDS: Final = 2 * MAX_COUNTED_REQUESTS
 # A flow may move to another balancer, which then sees the answer.
 MAX_REQUEST_SECONDS: Final = 3.0
 
@@ -40,7 +43,7 @@
         have any are included.
     ends
         Heap of the times until which requests are counted, each with its flow.
-        Entries stay after the answer.
+        Entries stay after the answer, and are removed when they are too many.
     recent_openings
         Openings that count, each with the time in seconds at which it was
         sent; oldest first.
--- a/tests/test_load_choice.py
+++ b/tests/test_load_choice.py
@@ -20,6 +20,7 @@
 from mustardhold.systems.server_load import (
     begin_in_flight,
     count_opening,
+    end_in_flight,
     expire_load,
     make_load_gauges,
 )
@@ -46,6 +47,7 @@
 )
 from mustardhold.tables.server_load import (
     MAX_LOADED_SERVERS,
+    MAX_REQUEST_ENDS,
     OpeningKey,
     ServerLoad,
 )
@@ -424,3 +426,18 @@
         keep_busy(tables, tables.directory.servers_by_token, now=now)
         for port in range(10):
             assert not gone & set(open_flow(tables, number * 10 + port, now))
+
+
+def test_answered_requests_keep_others_from_being_counted():
+    """A clock that stands still lets no entry expire."""
+    load = ServerLoad()
+    begin_in_flight(load, NOW, b'first', 1, 3)
+    for number in range(40_000):
+        flow = b'%d' % number
+        begin_in_flight(load, NOW, flow, 2, 3)
+        assert load.requests_by_token == {1: 1, 2: 1}
+        end_in_flight(load, flow)
+        assert len(load.ends) <= MAX_REQUEST_ENDS
+    expire_load(load, NOW + 3)
+    assert_idle(load)
+    assert not load.ends
