--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -20,10 +20,10 @@
     rank_servers,
 )
 from mustardhold.systems.service_routes import timed_routes_by_service
-from mustardhold.tables.constants import OPENING_ANSWER_TIMEOUT
+from mustardhold.tables.configurations import Configuration
 from mustardhold.tables.directory import KnownServer
 from mustardhold.tables.forwarding import Forward, ForwardingTables
-from mustardhold.tables.server_load import ServerLoad
+from mustardhold.tables.server_load import OpeningKey, ServerLoad
 from mustardhold.tables.server_ranking import (
     PreferredServers,
     ServerRanking,
@@ -63,17 +63,17 @@
     load, configuration = tables.answers.load, tables.configuration
     if load is None or configuration is None:
         return None
-    if load.version != configuration.version:
-        load.version = configuration.version
-        load.services = frozenset(timed_routes_by_service(configuration))
+    update_services(load, configuration)
     if service not in load.services:
         return None
     previous = servers.preferred
+    # Only the preferred servers change between two preparations.
     members_by_token = (
         index_members(servers.everywhere)
         if previous is None
         else previous.members_by_token
     )
+    # Spreads the changes of all balancers over a term.
     phase = xxhash.xxh3_64_intdigest(tables.name.encode()) / HASH_RANGE
     term = math.floor(now / PREFERENCE_SECONDS + phase)
     key = f'{tables.name}/{term}'.encode()
@@ -90,6 +90,13 @@
     )
 
 
+def update_services(load: ServerLoad, configuration: Configuration) -> None:
+    """Derive the services chosen by load from a new configuration."""
+    if load.version != configuration.version:
+        load.version = configuration.version
+        load.services = frozenset(timed_routes_by_service(configuration))
+
+
 def index_members(ranking: ServerRanking) -> dict[int, WeightedServer]:
     """Return the servers of a ranking by their tokens."""
     return {
@@ -134,17 +141,27 @@
         if len(ranked) > 1 and ranked[1].token not in load.requests_by_token:
             break
         others = find_others(tables, now, ranking, flow, ranked)
-        added = [preferred.members_by_token[one.token] for one in others]
+        members = [preferred.members_by_token[one.token] for one in others]
+        added = sorted(rate_members(load, members, flow))
         if added:
             extent = name
-            ranked = sorted((*ranked, *rate_members(load, added, flow)))
+        # Remote servers only give a data centre's sole server a second.
+        if name == 'remote' and is_sole_idle(load, ranked):
+            ranked += added
+        else:
+            ranked = sorted((*ranked, *added))
     return count_choice(tables, extent, ranked)
 
 
+def is_sole_idle(load: ServerLoad, ranked: Sequence[RatedServer]) -> bool:
+    """Return whether there is one server only, without requests in flight."""
+    return len(ranked) == 1 and ranked[0].token not in load.requests_by_token
+
+
 def count_choice(
     tables: ForwardingTables, extent: str, ranked: Sequence[RatedServer]
 ) -> list[KnownServer]:
-    """Count which servers were considered, and return them."""
+    """Count how far the search for servers went, and return the servers."""
     chosen = [one.member.server for one in ranked]
     if chosen:
         service = chosen[0].report.service
@@ -180,11 +197,12 @@
     ranked: Iterable[RatedServer],
 ) -> Iterator[KnownServer]:
     """Yield a few servers that are not ranked yet, in the flow's order."""
-    known = {one.token for one in ranked}
+    ranked_tokens = {one.token for one in ranked}
     others = (
         server
         for server in rank_servers(ranking, flow)
-        if server.token not in known and not is_avoided(tables, now, server)
+        if server.token not in ranked_tokens
+        and not is_avoided(tables, now, server)
     )
     return islice(others, ADDED_SERVERS)
 
@@ -196,15 +214,17 @@
     flow: bytes,
     attempt: int,
 ) -> list[KnownServer]:
-    """Return the servers of an opening that has just been sent already."""
-    opening = tables.openings_by_flow.get(flow)
-    if opening is None or opening.attempt != attempt:
-        return []
-    if now - opening.sent_at > OPENING_ANSWER_TIMEOUT.total_seconds():
+    """Return the servers of an opening that has just been sent already.
+
+    They are kept apart from ``openings_by_flow``, where the caller's next
+    packet or a later attempt takes the place of the first copy.
+    """
+    load = tables.answers.load
+    if load is None:
         return []
-    members = (
-        preferred.members_by_token.get(token) for token in opening.tokens
-    )
+    expire_load(load, now)
+    tokens = load.tokens_by_opening.get(OpeningKey(flow, attempt), ())
+    members = (preferred.members_by_token.get(token) for token in tokens)
     return [
         one.server
         for one in members
@@ -212,10 +232,10 @@
     ]
 
 
-def tokens_before(
+def tokens_of_previous_attempt(
     tables: ForwardingTables, servers: ServiceServers, flow: bytes, attempt: int
 ) -> tuple[int, ...]:
-    """Return the servers of the attempt before, as far as they are known."""
+    """Return the servers of an earlier attempt, if this balancer sent it."""
     opening = tables.openings_by_flow.get(flow)
     if servers.preferred is None or opening is None:
         return ()
@@ -225,7 +245,10 @@
 def describe_loads(
     tables: ForwardingTables, decision: Forward
 ) -> dict[str, list[float]]:
-    """Return the loads of the servers of an opening, which they include."""
+    """Return the loads of an opening's servers, the opening included.
+
+    A cold server that is limited is not chosen by its load, and gets 0.
+    """
     load = tables.answers.load
     prepared = tables.index.prepared_by_service.get(decision.service)
     if load is None or prepared is None or prepared.preferred is None:
--- a/src/mustardhold/systems/server_load.py
+++ b/src/mustardhold/systems/server_load.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from mustardhold.tables.constants import (
     MAX_RECENT_OPENINGS,
@@ -19,8 +19,9 @@
 from mustardhold.tables.server_load import (
     MAX_COUNTED_REQUESTS,
     MAX_LOADED_SERVERS,
+    MAX_REQUEST_ENDS,
     MAX_REQUEST_SECONDS,
-    CountedOpening,
+    OpeningKey,
     RequestInFlight,
     ServerLoad,
 )
@@ -48,14 +49,24 @@
     """Count a request, instead of an earlier one of its flow."""
     expire_load(load, now)
     end_in_flight(load, flow)
-    if len(load.ends) >= MAX_COUNTED_REQUESTS:
+    if len(load.requests_by_flow) >= MAX_COUNTED_REQUESTS:
         return
+    if len(load.ends) >= MAX_REQUEST_ENDS:
+        remove_answered(load)
     if count_up(load.requests_by_token, token):
         until = now + seconds
         load.requests_by_flow[flow] = RequestInFlight(token, until)
         heappush(load.ends, (until, flow))
 
 
+def remove_answered(load: ServerLoad) -> None:
+    """Remove the times of requests that are not in flight any more."""
+    load.ends = [
+        (request.until, flow) for flow, request in load.requests_by_flow.items()
+    ]
+    heapify(load.ends)
+
+
 def end_in_flight(load: ServerLoad, flow: bytes) -> None:
     """Count the request of a flow no more, if it is counted."""
     request = load.requests_by_flow.pop(flow, None)
@@ -64,16 +75,18 @@
 
 
 def count_opening(
-    load: ServerLoad, now: float, tokens: tuple[int, ...]
+    load: ServerLoad, now: float, opening: OpeningKey, tokens: tuple[int, ...]
 ) -> None:
-    """Count an opening at each of its servers."""
+    """Count an opening at each of its servers, unless it is a duplicate."""
     expire_load(load, now)
-    if len(load.recent_openings) >= MAX_RECENT_OPENINGS:
+    is_duplicate = opening in load.tokens_by_opening
+    if is_duplicate or len(load.recent_openings) >= MAX_RECENT_OPENINGS:
         return
     counted = tuple(
         token for token in tokens if count_up(load.openings_by_token, token)
     )
-    load.recent_openings.append(CountedOpening(now, counted))
+    load.tokens_by_opening[opening] = counted
+    load.recent_openings.append((now, opening))
 
 
 def count_up(counts: dict[int, int], token: int) -> bool:
@@ -95,8 +108,9 @@
 def expire_load(load: ServerLoad, now: float) -> None:
     """Count requests and openings no more that are older than their limits."""
     openings = load.recent_openings
-    while openings and openings[0].sent_at <= now - OPENING_SECONDS:
-        for token in openings.popleft().tokens:
+    while openings and openings[0][0] <= now - OPENING_SECONDS:
+        _, opening = openings.popleft()
+        for token in load.tokens_by_opening.pop(opening):
             count_down(load.openings_by_token, token)
     while load.ends and load.ends[0][0] <= now:
         until, flow = heappop(load.ends)
--- a/tests/test_load_choice.py
+++ b/tests/test_load_choice.py
@@ -20,6 +20,7 @@
 from mustardhold.systems.server_load import (
     begin_in_flight,
     count_opening,
+    end_in_flight,
     expire_load,
     make_load_gauges,
 )
@@ -44,7 +45,12 @@
     Forward,
     ForwardingTables,
 )
-from mustardhold.tables.server_load import MAX_LOADED_SERVERS, ServerLoad
+from mustardhold.tables.server_load import (
+    MAX_LOADED_SERVERS,
+    MAX_REQUEST_ENDS,
+    OpeningKey,
+    ServerLoad,
+)
 
 ADDRESS = ServiceAddress(1, 443)
 NOW = 10.0
@@ -214,7 +220,7 @@
     tables.opening_hedge_share = 0
     subset = subset_of(tables)
     keep_busy(tables, subset[2:])
-    count_opening(tables.answers.load, NOW, (subset[1],))
+    count_opening(tables.answers.load, NOW, OpeningKey(b'', 0), (subset[1],))
     assert open_flow(tables) == subset[:1]
 
 
@@ -290,12 +296,14 @@
 def test_counts_grow_without_bound():
     load = ServerLoad()
     for token in range(MAX_LOADED_SERVERS + 5):
-        count_opening(load, NOW, (token, token + 1))
+        opening = OpeningKey(b'%d' % token, 0)
+        count_opening(load, NOW, opening, (token, token + 1))
         begin_in_flight(load, NOW, b'%d' % token, token, 3)
     assert len(load.openings_by_token) == MAX_LOADED_SERVERS
     assert len(load.requests_by_token) == MAX_LOADED_SERVERS
     expire_load(load, NOW + 0.12)
     assert not load.openings_by_token
+    assert not load.tokens_by_opening
     expire_load(load, NOW + 3)
     assert_idle(load)
 
@@ -333,3 +341,103 @@
     assert format_line(line).endswith('loads=[0.5, 0.5]')
     (gauge,) = make_load_gauges(tables.answers.load, NOW)
     assert gauge.amount == 18
+
+
+def test_duplicate_goes_elsewhere_once_the_caller_has_sent_its_request():
+    tables = tables_of()
+    first = open_flow(tables)
+    send(tables, first[0], NOW + 0.005, length=50)
+    assert open_flow(tables, now=NOW + 0.006) == first
+    assert sum(tables.answers.load.openings_by_token.values()) == 2
+
+
+def test_duplicate_goes_elsewhere_after_a_later_attempt():
+    """Copies that wait while a balancer is suspended arrive all at once."""
+    tables = tables_of()
+    first = open_flow(tables)
+    keep_busy(tables, first)
+    open_flow(tables, now=NOW + 0.05, attempt=1)
+    assert open_flow(tables, now=NOW + 0.06) == first
+    assert sum(tables.answers.load.openings_by_token.values()) == 4
+
+
+def test_opening_that_is_chosen_anew_is_not_counted():
+    tables = tables_of()
+    open_flow(tables)
+    chosen = open_flow(tables, now=NOW + 0.15)
+    assert tables.answers.load.openings_by_token == dict.fromkeys(chosen, 1)
+
+
+def test_openings_leave_the_data_centre_while_its_only_server_is_idle():
+    for port in range(20):
+        tables = tables_of(3)
+        (local,) = subset_of(tables)
+        chosen = open_flow(tables, port)
+        assert chosen[0] == local
+        assert len(chosen) == 2
+        keep_busy(tables, [local])
+        assert local not in open_flow(tables, port + 100)
+
+
+def test_second_copy_goes_to_a_loaded_local_server_beside_an_idle_one():
+    for port in range(20):
+        tables = tables_of()
+        local = servers_of(tables, NOW, 'shop').local_tokens
+        idle = subset_of(tables)[0]
+        keep_busy(tables, local - {idle})
+        assert not set(open_flow(tables, port)) & (local - {idle})
+
+
+@pytest.mark.parametrize('count', [1, 2])
+def test_service_with_fewer_servers_than_wanted_gets_no_opening(count):
+    tables = tables_of(count)
+    for data_centre in CENTRES:
+        tables.data_centre = data_centre
+        tables.index.revisions = (-1, -1, -1, -1)
+        for attempt in range(3):
+            chosen = open_flow(tables, attempt=attempt)
+            assert len(chosen) == len(set(chosen)) == count
+        keep_busy(tables, tables.directory.servers_by_token, 3)
+
+
+@pytest.mark.parametrize('share', [0, 0.5, 1])
+def test_share_of_hedged_openings_differs_by_load(share):
+    tables = tables_of()
+    tables.opening_hedge_share = share
+    # Openings at one time: none has been unanswered for too long.
+    sizes = [len(open_flow(tables, port)) for port in range(400)]
+    # Four standard deviations around the share.
+    allowed = 0.1 if share == 0.5 else 0
+    assert sizes.count(2) / 400 == pytest.approx(share, abs=allowed)
+
+
+def test_change_of_servers_leaves_gone_ones_among_the_preferred():
+    """The preferred servers change between two preparations, too."""
+    tables = tables_of()
+    gone = set()
+    for number in range(30):
+        now = NOW + number * 0.4
+        server = tables.directory.servers_by_id[f'i-{number}']
+        report = msgspec.structs.replace(
+            server.report, sequence=2, state=ServerState.DRAINING
+        )
+        merge_report(tables.directory, now, report)
+        gone.add(server.token)
+        keep_busy(tables, tables.directory.servers_by_token, now=now)
+        for port in range(10):
+            assert not gone & set(open_flow(tables, number * 10 + port, now))
+
+
+def test_answered_requests_keep_others_from_being_counted():
+    """A clock that stands still lets no entry expire."""
+    load = ServerLoad()
+    begin_in_flight(load, NOW, b'first', 1, 3)
+    for number in range(40_000):
+        flow = b'%d' % number
+        begin_in_flight(load, NOW, flow, 2, 3)
+        assert load.requests_by_token == {1: 1, 2: 1}
+        end_in_flight(load, flow)
+        assert len(load.ends) <= MAX_REQUEST_ENDS
+    expire_load(load, NOW + 3)
+    assert_idle(load)
+    assert not load.ends
