Choose the servers of small services by hash

Cause: with 7 servers of a service in 3 or 4 data centres, the two or three local ones are soon loaded, so flows went to other data centres and broke when one was cut off. Change: services of fewer than 24 servers are chosen by hash as before.

--- a/src/mustardhold/systems/load_choice.py
+++ b/src/mustardhold/systems/load_choice.py
@@ -35,6 +35,9 @@
 # sees too small a part of the load of each.
 PREFERRED_SERVERS = 6
 ADDED_SERVERS = 4
+# A smaller service has few servers in each data centre, which are soon loaded.
+# Many flows would leave the data centre, and break if it is cut off.
+MIN_SERVERS = 24
 # A server that many balancers prefer at once gets more than its share, so each
 # balancer prefers others after this time, which evens the shares out. A shorter
 # time lets a balancer send more requests to servers that do not answer.
@@ -73,6 +76,8 @@
         if previous is None
         else previous.members_by_token
     )
+    if len(members_by_token) < MIN_SERVERS:
+        return None
     # Spreads the changes of all balancers over a term.
     phase = xxhash.xxh3_64_intdigest(tables.name.encode()) / HASH_RANGE
     term = math.floor(now / PREFERENCE_SECONDS + phase)
