Hand over a dropped request with its remaining time

Cause: a request handed over to the next primary owner kept the time that it had when its chain started. The new owner counted that time from the arrival of the message, so its deadline was later than the caller's by the time that the view change took. It held the slot and could report the outcome only after the caller's deadline, which matters once the earlier owner has left and no longer reports it.

Change: the earlier owner puts the time that is left into the message, as it does when it restarts a chain itself.

Result: the test failed first (2,000 ms instead of 1,500 ms after a delay of 500 ms) and passes now; tests of requests, founding and hedging pass.

--- a/src/mustardhold/systems/dropped_chains.py
+++ b/src/mustardhold/systems/dropped_chains.py
@@ -6,6 +6,8 @@
 newer view, the request is handed over to that one.
 """
 
+import msgspec
+
 from mustardhold.systems.admission import release_slot
 from mustardhold.systems.dispatch import is_active_primary, start_chain
 from mustardhold.systems.early_messages import hold_message
@@ -14,6 +16,7 @@
 from mustardhold.systems.request_records import (
     add_record,
     make_record,
+    remaining_packet,
     request_key,
 )
 from mustardhold.systems.requests import admit_request
@@ -50,7 +53,7 @@
         record.epoch = tables.view.epoch
         start_chain(tables, now, record, chain.packet, outbox)
     else:
-        hand_over_request(tables, record, chain, outbox)
+        hand_over_request(tables, now, record, chain, outbox)
 
 
 def is_latest_chain(record: RequestRecord, chain: RequestChain) -> bool:
@@ -62,6 +65,7 @@
 
 def hand_over_request(
     tables: BalancerTables,
+    now: float,
     record: RequestRecord,
     chain: RequestChain,
     outbox: Outbox,
@@ -78,7 +82,10 @@
     tables.counters[chain.service, 'request-chain-handed-over'] += 1
     record.epoch = tables.view.epoch
     release_slot(tables, record)
-    outbox.append(ToPeer(primary, ChainDropped(tables.view.epoch, chain)))
+    # The chain has the time that was left at its start, which may be long ago.
+    packet = remaining_packet(chain.packet, record.deadline_at, now)
+    current = msgspec.structs.replace(chain, packet=packet)
+    outbox.append(ToPeer(primary, ChainDropped(tables.view.epoch, current)))
 
 
 def take_over_request(
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -278,6 +278,28 @@
     assert deliver_messages(group, outbox, 0.3) == []
 
 
+def test_a_request_is_handed_over_with_its_remaining_time():
+    """Guards against an outcome after the deadline of the caller."""
+    group = make_group()
+    leaving = group[OWNERS[0]]
+    leaving.membership = Membership(1, {}, (), 0, active_at=0)
+    rest = [name for name in NAMES if name != OWNERS[0]]
+    change_view(group[OWNERS[1]], 2, rest)
+    packet = make_request(deadline_ms=2000)
+    assert send_request(group, packet, 0.1) == []
+    for name in NAMES:
+        change_view(group[name], 2, rest)
+    outbox = []
+    replay_held_packets(leaving, 0.6, outbox)
+    [handed_over] = outbox
+    [sent] = deliver_messages(group, outbox, 0.6)
+    assert sent.packet.deadline_ms == pytest.approx(1500, abs=1)
+    key = request_key(packet.flow, packet.request_id)
+    next_primary = group[handed_over.instance_id]
+    record = next_primary.requests.records_by_key[key]
+    assert record.deadline_at == pytest.approx(2.1, abs=0.002)
+
+
 def test_a_request_handed_over_for_another_view_is_not_started():
     """Guards against a start by two primary owners of different views."""
     group = make_group()
