Describe the limits and inputs of small pools' placements

Cause: the units of three limits and two attributes of PoolState were not given, and the minimum number of flows for servers that underreport stood in the condition of each server.

Result: behaviour is unchanged; tests of requests, placement and founding pass.

--- a/src/mustardhold/systems/placement_criteria.py
+++ b/src/mustardhold/systems/placement_criteria.py
@@ -15,13 +15,16 @@
 from mustardhold.tables.placement import Placement
 from mustardhold.tables.routing import Pool, Weighting
 
+# Shares of a server's connection limit.
 NEAR_FULL = 0.85
 NO_LONGER_FULL = 0.8
+# Multiples of the pool's mean utilisation.
 OVERLOAD = 1.06
 NO_LONGER_OVERLOAD = 1.02
 MIN_FLOWS_PER_SERVER = 50
 MIN_FLOWS_ONCE_MOVED = 45
 MOVED_PER_EXCESS = 6
+# Share of the held flows that a report must include.
 MIN_REPORTED_SHARE = 0.9
 # Hashing n flows a server deviates from the mean by sqrt(n) (one standard
 # deviation). Three of them stay within the limits below for large pools only.
@@ -40,8 +43,12 @@
     ----------
     utilisation_by_id
         Utilisation of each server that may receive new flows.
+    limit_by_id
+        Connection limit of each of them.
     mean_utilisation
         Utilisation of all of them together.
+    mean_flows
+        Mean number of flows of each of them.
     underreporting
         Servers that report fewer flows than the balancers hold on them.
     """
@@ -85,18 +92,25 @@
     )
     total = sum(limit_by_id.values())
     mean_flows = flows / max(len(servers), 1)
-    underreporting = frozenset(
-        server.announced.backend_id
-        for server in servers
-        if mean_flows >= MIN_FLOWS_PER_SERVER
-        and is_underreporting(tables, server)
-    )
     return PoolState(
         utilisation_by_id,
         limit_by_id,
         flows / max(total, 1),
         mean_flows,
-        underreporting,
+        find_underreporting(tables, servers, mean_flows),
+    )
+
+
+def find_underreporting(
+    tables: BalancerTables, servers: Sequence[KnownBackend], mean_flows: float
+) -> frozenset[str]:
+    """Find the servers that report too few flows; none in a small pool."""
+    if mean_flows < MIN_FLOWS_PER_SERVER:
+        return frozenset()
+    return frozenset(
+        server.announced.backend_id
+        for server in servers
+        if is_underreporting(tables, server)
     )
 
 
