--- a/src/mustardhold/commands/check_configuration.py
+++ b/src/mustardhold/commands/check_configuration.py
@@ -35,7 +35,8 @@
 # Both values of a difference fit in one line of 80 columns.
 MAX_VALUE_CHARACTERS = 20
 
-_address = re.compile(r'([^\s/:@]+|\[[0-9A-Fa-f:.]+\]):\d{1,5}')
+# The HTTP client takes port 0 as the default port.
+_address = re.compile(r'([^\s/:@]+|\[[0-9A-Fa-f:.]+\]):[1-9][0-9]{0,4}')
 
 
 def run_check_configuration(arguments: argparse.Namespace) -> int:
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -1,6 +1,8 @@
 """Tests of the check of configurations before they are sent."""
 
+import io
 import json
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -207,6 +209,25 @@
     assert '\\x1b[2J' in output
 
 
+def test_name_that_the_terminal_cannot_show_is_escaped(tmp_path, monkeypatch):
+    """A name with an umlaut ended the command where output is ASCII."""
+    path = tmp_path / 'body.json'
+    path.write_bytes(changed('"name": "lookup"', '"name": "s\u00fcche"'))
+    output = io.TextIOWrapper(io.BytesIO(), encoding='ascii')
+    monkeypatch.setattr(sys, 'stdout', output)
+    assert main(['check-configuration', str(path)]) == 0
+    assert main(['check-configuration', str(path), '--against', str(NEW)]) == 1
+    output.flush()
+    assert b'(s\\xfcche)' in output.buffer.getvalue()
+
+
+def test_port_0_is_not_taken_as_the_default_port(capsys):
+    """The client asked port 80 instead."""
+    arguments = ['check-configuration', str(NEW), '--against', '127.0.0.1:0']
+    assert main(arguments) == 2
+    assert '127.0.0.1:0: No such file' in capsys.readouterr().err
+
+
 @seed(6)
 @settings(max_examples=FUZZ_RUNS, deadline=None, database=None)
 @given(
