Describe when a dropped request is handed over and taken over

Cause: the docstrings named only the restart, and is_unfinished_copy did not say why other records are left alone.

Change: docstrings only.

Result: tests of requests pass.

--- a/src/mustardhold/systems/dropped_chains.py
+++ b/src/mustardhold/systems/dropped_chains.py
@@ -29,8 +29,9 @@
 def handle_chain_dropped(
     tables: BalancerTables, now: float, message: ChainDropped, outbox: Outbox
 ) -> None:
-    """Restart a dropped request once the view of the dropping owner is current.
+    """Restart a dropped request, or hand it over to the next primary owner.
 
+    The message is held until the view of the dropping owner is installed here.
     That owner has not stored the request and never will under the earlier
     view, so it has not forwarded it towards the last owner.
     """
@@ -91,10 +92,10 @@
 def take_over_request(
     tables: BalancerTables, now: float, message: ChainDropped, outbox: Outbox
 ) -> None:
-    """Start a dropped request as primary owner after the one that started it.
+    """Start a request that the earlier primary owner has handed over.
 
-    Only in the view in which it was handed over: the earlier primary owner
-    starts nothing in that view, but may do so in a later one.
+    Only in the view in which it was handed over: no other balancer starts the
+    request in that view, but the primary owner of a later one may.
     """
     if message.epoch != tables.view.epoch:
         return
@@ -124,7 +125,11 @@
 
 
 def is_unfinished_copy(record: RequestRecord, chain: RequestChain) -> bool:
-    """Return whether a record is of this chain, passed on to other owners."""
+    """Return whether a record was stored from this chain, and not acted on.
+
+    A record of another start, or of a request that this balancer has admitted
+    itself, must not be replaced: that request may run.
+    """
     if record.is_primary or record.is_chain_finished or record.refusal:
         return False
     is_open = record.state is not RequestState.ENDED
