--- a/src/mustardhold/systems/dropped_chains.py
+++ b/src/mustardhold/systems/dropped_chains.py
@@ -6,6 +6,8 @@
 newer view, the request is handed over to that one.
 """
 
+import msgspec
+
 from mustardhold.systems.admission import release_slot
 from mustardhold.systems.dispatch import is_active_primary, start_chain
 from mustardhold.systems.early_messages import hold_message
@@ -14,6 +16,7 @@
 from mustardhold.systems.request_records import (
     add_record,
     make_record,
+    remaining_packet,
     request_key,
 )
 from mustardhold.systems.requests import admit_request
@@ -26,8 +29,9 @@
 def handle_chain_dropped(
     tables: BalancerTables, now: float, message: ChainDropped, outbox: Outbox
 ) -> None:
-    """Restart a dropped request once the view of the dropping owner is current.
+    """Restart a dropped request, or hand it over to the next primary owner.
 
+    The message is held until the view of the dropping owner is installed here.
     That owner has not stored the request and never will under the earlier
     view, so it has not forwarded it towards the last owner.
     """
@@ -50,7 +54,7 @@
         record.epoch = tables.view.epoch
         start_chain(tables, now, record, chain.packet, outbox)
     else:
-        hand_over_request(tables, record, chain, outbox)
+        hand_over_request(tables, now, record, chain, outbox)
 
 
 def is_latest_chain(record: RequestRecord, chain: RequestChain) -> bool:
@@ -62,6 +66,7 @@
 
 def hand_over_request(
     tables: BalancerTables,
+    now: float,
     record: RequestRecord,
     chain: RequestChain,
     outbox: Outbox,
@@ -78,16 +83,19 @@
     tables.counters[chain.service, 'request-chain-handed-over'] += 1
     record.epoch = tables.view.epoch
     release_slot(tables, record)
-    outbox.append(ToPeer(primary, ChainDropped(tables.view.epoch, chain)))
+    # The chain has the time that was left at its start, which may be long ago.
+    packet = remaining_packet(chain.packet, record.deadline_at, now)
+    current = msgspec.structs.replace(chain, packet=packet)
+    outbox.append(ToPeer(primary, ChainDropped(tables.view.epoch, current)))
 
 
 def take_over_request(
     tables: BalancerTables, now: float, message: ChainDropped, outbox: Outbox
 ) -> None:
-    """Start a dropped request as primary owner after the one that started it.
+    """Start a request that the earlier primary owner has handed over.
 
-    Only in the view in which it was handed over: the earlier primary owner
-    starts nothing in that view, but may do so in a later one.
+    Only in the view in which it was handed over: no other balancer starts the
+    request in that view, but the primary owner of a later one may.
     """
     if message.epoch != tables.view.epoch:
         return
@@ -117,7 +125,11 @@
 
 
 def is_unfinished_copy(record: RequestRecord, chain: RequestChain) -> bool:
-    """Return whether a record is of this chain, passed on to other owners."""
+    """Return whether a record was stored from this chain, and not acted on.
+
+    A record of another start, or of a request that this balancer has admitted
+    itself, must not be replaced: that request may run.
+    """
     if record.is_primary or record.is_chain_finished or record.refusal:
         return False
     is_open = record.state is not RequestState.ENDED
