Let no restarted owner vouch for requests of its earlier start

Cause: a late message may install a view that names the earlier start of a balancer that restarted. Its span as owner began at that view, so it told the primary owner of a delayed chain that it had never forwarded it, though the earlier process had; the request was then started again and could run twice. Change: the span begins after a view that names an earlier start.

--- a/src/mustardhold/systems/request_history.py
+++ b/src/mustardhold/systems/request_history.py
@@ -61,8 +61,10 @@
         history.primary_since_by_bucket.pop(bucket, None)
         return
     if span is None or span.until_epoch is not None:
+        # What an earlier start forwarded in this view is not known here.
+        since_epoch = tables.view.epoch + is_of_earlier_start(tables)
         history.spans_by_bucket[bucket] = OwnerSpan(
-            now, tables.view.epoch, is_complete=is_founding
+            now, since_epoch, is_complete=is_founding
         )
     if owners[0] != name:
         history.primary_since_by_bucket.pop(bucket, None)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -300,6 +300,37 @@
     assert record.deadline_at == pytest.approx(2.1, abs=0.002)
 
 
+def test_a_restarted_owner_does_not_vouch_for_its_earlier_start():
+    """Guards against a request that runs again after an owner restarted.
+
+    A late message may install a view that names the earlier start, whose
+    requests the new process does not know.
+    """
+    group = make_group()
+    for name in NAMES:
+        change_view(group[name], 2, NAMES)
+    primary, outbox = group[OWNERS[0]], []
+    known = primary.backends_by_id['s1']
+    handle_request(primary, 0.1, make_request(), known, outbox)
+    delayed = list(outbox)
+    [send] = deliver_messages(group, outbox, 0.1)
+    assert isinstance(send, ToBackend)
+    restarted = BalancerTables(OWNERS[1], 'dc', View(0, {}))
+    restarted.membership = Membership(2, {}, (), 0, active_at=0)
+    store_announcement(restarted, 0, SERVER)
+    group[OWNERS[1]] = restarted
+    starts = dict.fromkeys(NAMES, 1)
+    restarted.view = View(2, members(NAMES), starts)
+    update_owner_history(restarted, 0.2)
+    remaining = [name for name in NAMES if name != OWNERS[2]]
+    for name, tables in group.items():
+        change_view(tables, 3, remaining)
+        tables.lease_until = 100
+        if name == OWNERS[1]:
+            tables.view = View(3, members(remaining), {**starts, name: 2})
+    assert deliver_messages(group, delayed, 0.4) == []
+
+
 def test_a_request_handed_over_for_another_view_is_not_started():
     """Guards against a start by two primary owners of different views."""
     group = make_group()
