Refuse reports whose numbers or names are out of range

Cause: the number of slots of a report had no upper limit. It was accepted, carried by the feed as JSON, and ended each instance where the directory is saved: msgpack has no integers above 64 bits, and the task that saves expects errors of the disk only.

Evidence: the log of each instance ends with "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1" below save_directory.

Change: systems/report_checks.py names the range of each value. It is used where reports are read: a request is refused with its place, a row of the feed of an earlier version and a report in the files of an earlier run are left aside alone, with a counter and a log line. So what is held can always be stored and sent on.

--- a/src/mustardhold/adapters/directory_store.py
+++ b/src/mustardhold/adapters/directory_store.py
@@ -20,6 +20,7 @@
     pack_record,
     read_records,
 )
+from mustardhold.systems.report_checks import is_usable
 from mustardhold.tables.directory import ServerReport
 
 DIRECTORY_NAME = 'servers'
@@ -27,7 +28,8 @@
 # Below this size, rewriting the snapshot would cost more than reading the log.
 MIN_LOG_BYTES = 65_536
 
-_decoder = msgspec.msgpack.Decoder(tuple[ServerReport, ...])
+_list_decoder = msgspec.msgpack.Decoder(tuple[msgspec.Raw, ...])
+_report_decoder = msgspec.msgpack.Decoder(ServerReport)
 
 
 @dataclass(slots=True)
@@ -41,24 +43,34 @@
     is_log_usable
         Whether changes may be appended. If not, the next save writes a new
         snapshot and removes the log.
+    unusable
+        Number of saved reports that were left aside when they were loaded.
     """
 
     disk: Disk
     snapshot_bytes: int = 0
     log_bytes: int = 0
     is_log_usable: bool = False
+    unusable: int = 0
 
 
 def load_reports(store: DirectoryStore) -> tuple[ServerReport, ...]:
-    """Load the saved reports, older ones first; skip what is unreadable."""
-    return load_snapshot(store) + load_log(store)
+    """Load the saved reports, older ones first.
+
+    What is unreadable, or would not be accepted from a server, is left aside:
+    an earlier version may have saved it.
+    """
+    reports = (*load_snapshot(store), *load_log(store))
+    usable = tuple(report for report in reports if is_usable(report))
+    store.unusable += len(reports) - len(usable)
+    return usable
 
 
 def load_snapshot(store: DirectoryStore) -> tuple[ServerReport, ...]:
     """Load the snapshot; return nothing if it is missing or unreadable."""
     try:
         body = read_record_file(store.disk, DIRECTORY_NAME)
-        return () if body is None else _decoder.decode(body)
+        return () if body is None else decode_reports(store, body)
     except (DamagedFileError, msgspec.DecodeError):
         return ()
 
@@ -69,12 +81,31 @@
     reports: list[ServerReport] = []
     try:
         for record in read_records(LOG_NAME, raw):
-            reports.extend(_decoder.decode(record.body))
+            reports.extend(decode_reports(store, record.body))
     except (DamagedFileError, msgspec.DecodeError):
         return tuple(reports)
     return tuple(reports)
 
 
+def decode_reports(
+    store: DirectoryStore, body: bytes
+) -> tuple[ServerReport, ...]:
+    """Decode a list of reports; count and skip malformed ones.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the body is no list.
+    """
+    reports: list[ServerReport] = []
+    for raw in _list_decoder.decode(body):
+        try:
+            reports.append(_report_decoder.decode(raw))
+        except msgspec.DecodeError:
+            store.unusable += 1
+    return tuple(reports)
+
+
 def save_changes(
     store: DirectoryStore,
     changed: tuple[ServerReport, ...],
--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -1,5 +1,7 @@
 """Polls one source of the feed, and merges its replies."""
 
+from collections.abc import Iterator
+
 import msgspec
 
 from mustardhold.adapters.http_client import HttpRequest, send_request
@@ -16,6 +18,7 @@
     refresh_heard,
     update_silent,
 )
+from mustardhold.systems.report_checks import find_report_errors
 from mustardhold.systems.suspicions import merge_suspects
 from mustardhold.tables.constants import (
     FEED_MARGIN,
@@ -24,7 +27,7 @@
     RELAY_FAILURE_PERIOD,
     SETTLING_PERIOD,
 )
-from mustardhold.tables.directory import Directory
+from mustardhold.tables.directory import Directory, DirectoryRow
 from mustardhold.tables.feed import (
     FEED_PATH,
     NEVER_NEWER,
@@ -125,7 +128,7 @@
     new_reports = merge_rows(
         client.directory,
         received.made_at,
-        reply.rows,
+        usable_rows(client, address, reply.rows),
         is_settled=is_settled(client),
     )
     for report in new_reports:
@@ -153,6 +156,30 @@
     client.on_reply(received)
 
 
+def usable_rows(
+    client: FeedClient, address: str, rows: tuple[DirectoryRow, ...]
+) -> Iterator[DirectoryRow]:
+    """Yield the rows that may be merged; count and log the others.
+
+    A process of an earlier version may have accepted a report that this one
+    would refuse.
+    """
+    for row in rows:
+        findings = tuple(find_report_errors(row.report))
+        if not findings:
+            yield row
+            continue
+        client.counters['feed', 'row-unusable'] += 1
+        client.log.warning(
+            'feed row is unusable',
+            extra={
+                'address': address,
+                'server': row.report.server_id,
+                'findings': [str(one) for one in findings],
+            },
+        )
+
+
 def is_settled(client: FeedClient) -> bool:
     """Return whether this process would know each server that reports."""
     age = client.clock.monotonic() - client.started_at
--- a/src/mustardhold/daemons/registry_state.py
+++ b/src/mustardhold/daemons/registry_state.py
@@ -80,7 +80,11 @@
     directory = Directory()
     store = DirectoryStore(node.disk)
     restored = restore_directory(store, directory, clock.monotonic())
-    log.info('directory restored', extra={'servers': restored})
+    node.replica.counters['directory', 'unusable'] += store.unusable
+    log.info(
+        'directory restored',
+        extra={'servers': restored, 'unusable': store.unusable},
+    )
     feed = FeedPublisher(
         make_run_id(),
         directory,
--- a/src/mustardhold/platform/control.py
+++ b/src/mustardhold/platform/control.py
@@ -70,8 +70,7 @@
     """
     parsed = read_report(request.name, request.body)
     if isinstance(parsed, Err):
-        control.node.replica.counters['report', 'malformed'] += 1
-        return refuse_all(parsed.error)
+        return refuse_report(control, request.name, parsed.error)
     if await share_report(control, parsed.value):
         return Reply(HTTPStatus.OK, EMPTY_JSON)
     return refuse(
@@ -79,6 +78,21 @@
     )
 
 
+def refuse_report(
+    control: RegistryControl, server_id: str, findings: tuple[Finding, ...]
+) -> Reply:
+    """Count and log a report that is not valid, and return a 400 response."""
+    control.node.replica.counters['report', 'malformed'] += 1
+    control.node.log.warning(
+        'report refused',
+        extra={
+            'server': server_id,
+            'findings': [str(one) for one in findings],
+        },
+    )
+    return refuse_all(findings)
+
+
 async def handle_leave(
     control: RegistryControl, request: HandlerRequest
 ) -> Reply:
@@ -89,7 +103,7 @@
     """
     parsed = read_leave(request.body)
     if isinstance(parsed, Err):
-        return refuse_all(parsed.error)
+        return refuse_report(control, request.name, parsed.error)
     known = control.directory.servers_by_id.get(request.name)
     if known is None or parsed.value not in {0, known.report.incarnation}:
         return Reply(HTTPStatus.OK, EMPTY_JSON)
--- a/src/mustardhold/platform/reports.py
+++ b/src/mustardhold/platform/reports.py
@@ -1,11 +1,14 @@
 """Decoding of the JSON reports of backend servers."""
 
+from collections.abc import Iterator
 from enum import StrEnum
-from typing import Annotated
+from types import MappingProxyType
+from typing import Annotated, Final
 
 import msgspec
 
 from mustardhold.platform.server_ids import server_number
+from mustardhold.systems.report_checks import find_report_errors
 from mustardhold.tables.directory import (
     LAST_SEQUENCE,
     ServerReport,
@@ -15,11 +18,19 @@
 from mustardhold.tables.routing import Finding
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=LAST_SEQUENCE)]
-Positive = Annotated[int, msgspec.Meta(gt=0)]
 Address = Annotated[
     str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
 ]
 MAX_SERVER_NUMBER = 2**64 - 1
+WIRE_NAMES: Final = MappingProxyType(
+    {
+        'server_id': 'id',
+        'data_centre': 'zone',
+        'slow_for_ms': 'cold_remaining_ms',
+        'incarnation': 'born',
+    }
+)
+"""Names that differ in the JSON of the platform."""
 
 
 class WireState(StrEnum):
@@ -45,7 +56,7 @@
     service: Annotated[str, msgspec.Meta(min_length=1)]
     address: Address
     zone: str
-    slots: Positive
+    slots: int
     state: WireState
     sequence: Count
     cold_remaining_ms: Count = 0
@@ -85,21 +96,30 @@
         return Err(
             (body_error,) if id_error is None else (id_error, body_error)
         )
-    if id_error is not None:
-        return Err((id_error,))
-    return Ok(
-        ServerReport(
-            server_id,
-            wire.born,
-            wire.sequence,
-            wire.service,
-            wire.address,
-            wire.zone,
-            wire.slots,
-            ServerState(wire.state.value),
-            wire.cold_remaining_ms,
-        )
+    report = ServerReport(
+        server_id,
+        wire.born,
+        wire.sequence,
+        wire.service,
+        wire.address,
+        wire.zone,
+        wire.slots,
+        ServerState(wire.state.value),
+        wire.cold_remaining_ms,
     )
+    findings = tuple(find_errors(report, id_error))
+    return Err(findings) if findings else Ok(report)
+
+
+def find_errors(
+    report: ServerReport, id_error: Finding | None
+) -> Iterator[Finding]:
+    """Yield the findings of a report, with the names of the platform."""
+    if id_error is not None:
+        yield id_error
+    for finding in find_report_errors(report):
+        name = WIRE_NAMES.get(finding.place, finding.place)
+        yield Finding(name, finding.message)
 
 
 def read_leave(raw: bytes) -> Outcome[int, tuple[Finding, ...]]:
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -13,6 +13,8 @@
 MAX_WAITING_REQUESTS: Final = 256
 MAX_ANSWER_REPORT_BYTES: Final = 1200
 MAX_BACKEND_SERVERS: Final = 4096
+MAX_SERVER_SLOTS: Final = 1_000_000
+MAX_REPORTED_NAME_LENGTH: Final = 255
 MAX_TABLE_ENTRIES: Final = 40_000
 MAX_DECISIONS: Final = 8192
 MAX_TIMERS: Final = 32_768
@@ -47,6 +49,7 @@
 ANNOUNCEMENT_LIFETIME: Final = timedelta(seconds=3)
 BACKEND_RETENTION: Final = timedelta(minutes=10)
 SLOW_START: Final = timedelta(seconds=10)
+MAX_SLOW_START: Final = timedelta(days=1)
 REQUEST_RECORD_LIFETIME: Final = timedelta(seconds=120)
 IDEMPOTENT_RECORD_MARGIN: Final = timedelta(seconds=60)
 MAX_REQUEST_DEADLINE: Final = timedelta(seconds=60)
