Refuse addresses that no host can have, and survive sending to one

Cause: the address of a report was checked by its form only, so that a port of 80010, an octet above 255 or digits of another alphabet passed. The task of the link then raised OverflowError, where only an OSError was expected. An octet above 255 makes the socket look the text up as a name.

Evidence: test_queued_packet_that_cannot_be_sent_ends_no_balancer ended with "OverflowError: sendto(): port must be 0-65535" before; nine cases of test_report_out_of_range_is_refused_with_its_place, those of the feed and of the disk and the random reports failed as well.

Change: find_host_address_error is part of the ranges of a report, so it holds for requests, the feed and the files; the sender counts every error that a socket raises for an address.

Result: tests/test_odd_reports.py and tests/test_token_balancer.py pass.

--- a/src/mustardhold/daemons/token_packets.py
+++ b/src/mustardhold/daemons/token_packets.py
@@ -181,5 +181,6 @@
     """Send a datagram; count and drop it if it cannot be sent immediately."""
     try:
         balancer.sock.sendto(*datagram)
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # A socket raises the last two for an address that cannot exist.
         report_error(balancer.error_reporter, 'send-failed', error)
--- a/src/mustardhold/platform/reports.py
+++ b/src/mustardhold/platform/reports.py
@@ -18,9 +18,6 @@
 from mustardhold.tables.routing import Finding
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=LAST_SEQUENCE)]
-Address = Annotated[
-    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
-]
 MAX_SERVER_NUMBER = 2**64 - 1
 WIRE_NAMES: Final = MappingProxyType(
     {
@@ -54,7 +51,7 @@
     """
 
     service: Annotated[str, msgspec.Meta(min_length=1)]
-    address: Address
+    address: str
     zone: str
     slots: int
     state: WireState
--- a/src/mustardhold/systems/report_checks.py
+++ b/src/mustardhold/systems/report_checks.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterator
 
+from mustardhold.systems.value_formats import find_host_address_error
 from mustardhold.tables.constants import (
     MAX_REPORTED_NAME_LENGTH,
     MAX_SERVER_SLOTS,
@@ -35,6 +36,9 @@
     for key, lowest, highest in NUMBER_RANGES:
         if not lowest <= getattr(report, key) <= highest:
             yield Finding(key, f'must be from {lowest} to {highest}')
+    error = find_host_address_error(report.address)
+    if error:
+        yield Finding('address', error)
 
 
 def is_usable(report: ServerReport) -> bool:
--- a/src/mustardhold/systems/value_formats.py
+++ b/src/mustardhold/systems/value_formats.py
@@ -7,6 +7,7 @@
 from mustardhold.tables.outcomes import Err, Ok, Outcome
 
 MAX_PORT = 2**16 - 1
+BROADCAST = ipaddress.IPv4Address('255.255.255.255')
 MAX_NAME_LENGTH = 64
 MAX_DURATION = timedelta(days=1)
 NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]*', re.ASCII)
@@ -39,6 +40,25 @@
     return ''
 
 
+def find_host_address_error(text: str) -> str:
+    """Describe the error in an ``"ip:port"`` of one host; empty if valid.
+
+    A packet to anything else would not reach a host: the socket would look it
+    up as a name, or refuse it.
+    """
+    error = find_address_error(text)
+    if error:
+        return error
+    host = text.rpartition(':')[0]
+    try:
+        ip = ipaddress.IPv4Address(host)
+    except ValueError:
+        return f'{host!r} is not an IPv4 address'
+    if ip.is_unspecified or ip.is_multicast or ip == BROADCAST:
+        return f'{host!r} is not the address of one host'
+    return ''
+
+
 def find_name_error(text: str) -> str:
     """Describe the error in a name; empty if it is valid."""
     if len(text) > MAX_NAME_LENGTH:
--- a/tests/test_odd_reports.py
+++ b/tests/test_odd_reports.py
@@ -1,5 +1,6 @@
 """Reports of foreign writers: refused, and harmless wherever they come from."""
 
+import ipaddress
 import json
 import logging
 import random
@@ -63,6 +64,10 @@
     msgspec.structs.replace(SOUND, server_id='i-c0ffee', slow_for_ms=TOO_LARGE),
     msgspec.structs.replace(SOUND, server_id='i-c0ffee', sequence=-1),
     msgspec.structs.replace(SOUND, server_id='i-c0ffee', service='s' * 1000),
+    msgspec.structs.replace(SOUND, server_id='i-c0ffee', address='10.0.0.9:0'),
+    msgspec.structs.replace(
+        SOUND, server_id='i-c0ffee', address='10.0.0.9:80010'
+    ),
 ]
 
 
@@ -96,6 +101,15 @@
         ({'zone': 'z' * 256}, 'zone'),
         ({'service': 's' * 256}, 'service'),
         ({'cold_remaining_ms': 2**40}, 'cold_remaining_ms'),
+        ({'address': '10.0.0.9:80010'}, 'address'),
+        ({'address': '10.0.0.9:0'}, 'address'),
+        ({'address': '10.0.0.9:80\n'}, 'address'),
+        ({'address': '300.0.0.9:80'}, 'address'),
+        ({'address': '0.0.0.0:80'}, 'address'),
+        ({'address': '224.0.0.1:80'}, 'address'),
+        ({'address': '255.255.255.255:80'}, 'address'),
+        ({'address': '[10.0.0.9]:80'}, 'address'),
+        ({'address': '\u0661\u0660.0.0.9:80'}, 'address'),
     ],
 )
 def test_report_out_of_range_is_refused_with_its_place(changes, place):
@@ -189,4 +203,6 @@
     assert msgspec.msgpack.decode(packed, type=ServerReport) == report
     sent = msgspec.json.encode(DirectoryRow(report, 0, 0))
     assert msgspec.json.decode(sent, type=DirectoryRow).report == report
-    assert split_address(report.address)
+    host, port = split_address(report.address)
+    assert ipaddress.IPv4Address(host)
+    assert 0 < port < 2**16
--- a/tests/test_token_balancer.py
+++ b/tests/test_token_balancer.py
@@ -105,6 +105,13 @@
     )
 
 
+def make_packet(report, number):
+    """Make a full packet of the opened flow, by its number."""
+    header = (0, token_of(report), number * 1200, 9, 64, 0, 1200)
+    ends = struct.unpack('!HHII', OPENING[20:])
+    return HEADER.pack(*header, *ends) + bytes(1200)
+
+
 @pytest.mark.parametrize('controls_admission', [True, False])
 def test_admission_control_can_be_turned_off(balancer, controls_admission):
     options = msgspec.structs.replace(
@@ -235,9 +242,7 @@
     signal.raise_signal(signal.SIGTERM)
     await trio.sleep(0.01)
     for number in (3, 0, 2, 1, *range(15, 3, -1)):
-        header = (0, token_of(report), number * 1200, 9, 64, 0, 1200)
-        raw = HEADER.pack(*header, *struct.unpack('!HHII', OPENING[20:]))
-        handle_datagram(balancer, raw + bytes(1200))
+        handle_datagram(balancer, make_packet(report, number))
     began_at = trio.current_time()
     nursery.start_soon(run_link_sender, balancer.link)
     with trio.fail_after(5):
@@ -249,6 +254,22 @@
     assert numbers == [3, 0, 2, 1, *range(4, 16)]
 
 
+@pytest.mark.parametrize('link_bytes_per_second', [100_000])
+async def test_queued_packet_that_cannot_be_sent_ends_no_balancer(
+    balancer, server, nursery
+):
+    """Guards against an address out of range that ends the link's task."""
+    install_document(balancer, DOCUMENT)
+    odd = msgspec.structs.replace(make_report(server), address='10.0.0.9:80010')
+    merge_report(balancer.tables.directory, balancer.clock.monotonic(), odd)
+    nursery.start_soon(run_link_sender, balancer.link)
+    for number in range(16):
+        handle_datagram(balancer, make_packet(odd, number))
+    with trio.fail_after(5):
+        while balancer.tables.counters['', 'send-failed'] < 16:
+            await trio.sleep(0.01)
+
+
 def test_evacuations_are_installed_and_older_ones_ignored(balancer, caplog):
     """A reply that was held up must not end or begin an evacuation again."""
     caplog.set_level(logging.INFO)
