Refuse configurations that are nested too deeply for some balancer

Callers would see: an acknowledged configuration that balancers never obey, from some 930 to 990 levels of nesting in an unused field.

Cause: the decoder's limit of recursion counts the frames of its caller, so control could accept what a balancer with a deeper stack cannot decode.

Reports of servers are no such case, as they are passed on as typed rows.

Change: control and check-configuration refuse more than 100 levels, counted in the text itself.

--- a/src/mustardhold/platform/configurations.py
+++ b/src/mustardhold/platform/configurations.py
@@ -13,6 +13,7 @@
     DECODE_ERRORS,
     find_duplicate_keys,
     find_type_errors,
+    is_nested_too_deeply,
     locate_error,
 )
 from mustardhold.tables.configurations import (
@@ -125,6 +126,8 @@
     if isinstance(decoded, Err):
         all_errors = tuple(find_type_errors('', WireConfiguration, raw))
         return Err(all_errors or decoded.error)
+    if is_nested_too_deeply(raw):
+        return Err((Finding('body', 'is nested too deeply'),))
     duplicates = find_duplicate_keys(raw)
     findings = (*duplicates, *find_errors(decoded.value))
     if findings:
--- a/src/mustardhold/platform/json_errors.py
+++ b/src/mustardhold/platform/json_errors.py
@@ -1,14 +1,21 @@
 """Errors of JSON documents, all of them and with their locations."""
 
 import json
+import re
 from collections import Counter
 from collections.abc import Callable, Iterator
-from typing import Any, get_args, get_origin
+from typing import Any, Final, get_args, get_origin
 
 import msgspec
 
 from mustardhold.tables.routing import Finding
 
+MAX_NESTING: Final = 100
+"""Levels of arrays and objects; far below what any process can decode."""
+STRING_PATTERN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
+BRACKETS = b'[]{}'
+AS_ARRAYS = bytes.maketrans(b'{}', b'[]')
+NOT_BRACKETS = bytes(set(range(256)).difference(BRACKETS))
 DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 
 Pair = tuple[str, Any]
@@ -77,6 +84,22 @@
     return f'{place}.{key}' if place else key
 
 
+def is_nested_too_deeply(raw: bytes) -> bool:
+    """Return whether valid JSON has more than ``MAX_NESTING`` levels.
+
+    How deep a decoder gets depends on the frames of its caller as well, so what
+    one process has just decoded another one might not.
+    """
+    text = STRING_PATTERN.sub(b'', raw)
+    brackets = text.translate(AS_ARRAYS, NOT_BRACKETS)
+    for _ in range(MAX_NESTING):
+        # Each pass removes the innermost level everywhere.
+        brackets = brackets.replace(b'[]', b'')
+        if not brackets:
+            return False
+    return True
+
+
 def find_duplicate_keys(raw: bytes) -> tuple[Finding, ...]:
     """Find duplicate keys in an object, since either value may be meant."""
     repeats: list[int] = []
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -13,6 +13,7 @@
     read_configuration,
     validate_document,
 )
+from mustardhold.platform.json_errors import MAX_NESTING
 from mustardhold.platform.packets import (
     HEADER,
     make_packet_codec,
@@ -86,6 +87,31 @@
     assert isinstance(read, Ok if is_valid else Err)
 
 
+def call_deeper(frames, function):
+    """Call a function below some more frames of the stack."""
+    return function() if not frames else call_deeper(frames - 1, function)
+
+
+@pytest.mark.parametrize('levels', [50, 900, 940, 960, 980])
+@pytest.mark.parametrize(('opened', 'closed'), [(b'[', b']'), (b'{"a":', b'}')])
+def test_accepted_nesting_is_read_by_a_process_with_a_deeper_stack(
+    levels, opened, closed
+):
+    """Guards against a configuration that control takes and balancers don't.
+
+    The limit of recursion counts the frames of the caller as well.
+    """
+    nested = opened * levels + b'1' + closed * levels
+    read = validate_document(with_extra(nested))
+    is_accepted = isinstance(read, Ok)
+    assert is_accepted == (levels < MAX_NESTING)
+    if is_accepted:
+        document = read.value
+        assert isinstance(
+            call_deeper(100, lambda: read_configuration(document)), Ok
+        )
+
+
 def report(**changes):
     """Return a valid report body with changed fields; None removes a field."""
     defaults = {
