Let the played replicas return to their saved state as the daemon does

Cause: the daemon returns to what its disk holds when a full disk refuses a write; the played replicas of the proofs were killed instead, so no proof could show what follows from that return.

Change: what the daemon did is in adapters/replica_reload.py, without a network, and the played replicas use it. A played disk can refuse chosen operations after some that succeed. Behaviour is else as before, also its faults.

--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -70,12 +70,16 @@
     commit_size
         Size of the commit index file in bytes, or ``MAX_COMMIT_BYTES`` if the
         next write must replace the file.
+    is_reload_due
+        Whether the replica has to return to the saved state before its next
+        step, as a full disk refused a write.
     """
 
     disk: Disk
     batch_ends: list[tuple[int, int]] = field(default_factory=list)
     log_size: int = 0
     commit_size: int = 0
+    is_reload_due: bool = False
 
 
 @dataclass(slots=True)
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -1,6 +1,5 @@
 """A control replica with its disk, its links and its pending proposals."""
 
-import errno
 import logging
 import os
 import random
@@ -15,12 +14,12 @@
 from mustardhold.adapters.clock import Clock
 from mustardhold.adapters.disk import FolderDisk, close_folder, open_folder
 from mustardhold.adapters.http_client import HttpClient
+from mustardhold.adapters.replica_reload import ensure_reloaded, save_step
 from mustardhold.adapters.replica_store import (
     ReplicaStore,
     open_identity,
     open_store,
     save_commit,
-    save_effects,
 )
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
 from mustardhold.daemons.replica_links import Links, send_message
@@ -49,7 +48,6 @@
 )
 
 UID_BYTES = 16
-DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 AnyOutcome = EditOutcome | RepeatedEdit
 Proposed = TypeVar('Proposed')
@@ -179,21 +177,11 @@
     close_folder(node.disk)
 
 
-def reload_from_disk(node: ReplicaNode) -> None:
-    """Return to the saved state, and end pending proposals as unknown.
-
-    Called when a full disk refused a write.
-    """
-    store, saved = open_store(node.disk)
-    node.store = store
-    now = node.clock.monotonic()
-    consensus.reload_saved_state(
-        node.replica, now, saved.vote, saved.snapshot, saved.log
-    )
+def end_proposals(node: ReplicaNode) -> None:
+    """End the pending proposals; their outcome stays unknown."""
     for pending in node.proposals_by_index.values():
         pending.done.set()
     node.proposals_by_index.clear()
-    log_role(node)
 
 
 @contextmanager
@@ -220,13 +208,12 @@
     If the disk is full, nothing is sent or answered, and the state in memory
     returns to the saved one.
     """
-    try:
-        save_effects(node.store, effects, node.replica.log)
-    except OSError as error:
-        if error.errno not in DISK_FULL_ERRORS:
-            raise
+    now = node.clock.monotonic()
+    error = save_step(node.store, node.replica, now, effects)
+    if error is not None:
         report_error(node.error_reporter, 'disk-full', error)
-        reload_from_disk(node)
+        end_proposals(node)
+        log_role(node)
         return
     if node.links is not None:
         for outgoing in effects.sends:
@@ -253,7 +240,8 @@
     """Process a message of another replica and execute its effects."""
     with stopping_on_failure(node):
         now = node.clock.monotonic()
-        execute_effects(node, consensus.step(node.replica, now, message))
+        if ensure_reloaded(node.store, node.replica, now):
+            execute_effects(node, consensus.step(node.replica, now, message))
 
 
 def submit_proposal(
@@ -324,7 +312,8 @@
     while node.failure is None:
         with suppress(Exception), stopping_on_failure(node):
             now = node.clock.monotonic()
-            execute_effects(node, consensus.tick(node.replica, now))
+            if ensure_reloaded(node.store, node.replica, now):
+                execute_effects(node, consensus.tick(node.replica, now))
         await trio.sleep(REPLICA_TICK.total_seconds())
 
 
--- a/tools/fakes/disks.py
+++ b/tools/fakes/disks.py
@@ -1,5 +1,6 @@
 """A simulated disk that loses unsynced writes, tears writes and fills up."""
 
+import errno
 import random
 from dataclasses import dataclass, field
 
@@ -30,6 +31,13 @@
         Free space; a write that exceeds it is truncated and fails.
     operations_until_crash
         Operations that succeed before the process is killed during one.
+    refused
+        Names of the operations that fail as on a full disk; an append leaves
+        half of what was to be written.
+    allowed
+        Number of these that succeed before the first one fails.
+    error
+        Number of the error that they raise.
     """
 
     rng: random.Random
@@ -38,6 +46,9 @@
     is_syncing: bool = True
     bytes_left: int | None = None
     operations_until_crash: int | None = None
+    refused: frozenset[str] = frozenset()
+    allowed: int = 0
+    error: int = errno.ENOSPC
     writes: int = 0
     syncs: int = 0
 
@@ -51,10 +62,13 @@
         self.writes += 1
         file = self.files_by_name.setdefault(name, FakeFile())
         try:
-            self._operate()
+            self._operate('append')
         except CrashError:
             file.content += content[: self.rng.randrange(len(content))]
             raise
+        except OSError:
+            file.content += content[: len(content) // 2]
+            raise
         if self.bytes_left is not None:
             bytes_free = max(self.bytes_left, 0)
             self.bytes_left -= len(content)
@@ -65,12 +79,12 @@
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes."""
-        self._operate()
+        self._operate('truncate')
         del self.files_by_name[name].content[size:]
 
     def sync(self, name: str) -> None:
         """Make a file's content durable."""
-        self._operate()
+        self._operate('sync')
         self.syncs += 1
         if self.is_syncing:
             file = self.files_by_name[name]
@@ -78,7 +92,7 @@
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, replacing any file of the new name."""
-        self._operate()
+        self._operate('rename')
         self.files_by_name[new] = self.files_by_name.pop(old)
 
     def remove(self, name: str) -> None:
@@ -87,12 +101,16 @@
 
     def sync_folder(self) -> None:
         """Make file creations and renames durable."""
-        self._operate()
+        self._operate('sync_folder')
         self.syncs += 1
         if self.is_syncing:
             self.synced_names = dict(self.files_by_name)
 
-    def _operate(self) -> None:
+    def _operate(self, operation: str) -> None:
+        if operation in self.refused:
+            self.allowed -= 1
+            if self.allowed < 0:
+                raise OSError(self.error, f'{operation} refused')
         if self.operations_until_crash is None:
             return
         self.operations_until_crash -= 1
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from mustardhold.adapters.records import DamagedFileError
+from mustardhold.adapters.replica_reload import ensure_reloaded, save_step
 from mustardhold.adapters.replica_store import (
     ReplicaStore,
     open_identity,
@@ -96,6 +97,11 @@
         Replicas named in the settings; all replicas if empty.
     voters
         Target number of voters for automatic growth; 0 disables it.
+    is_reloading
+        Whether a replica returns to its saved state when the disk is full; if
+        not, its process ends.
+    ended
+        Names of the processes that ended by themselves.
     """
 
     queue: EventQueue
@@ -109,6 +115,8 @@
     renamed_edits: int = 0
     seeds: tuple[str, ...] = ()
     voters: int = 0
+    is_reloading: bool = True
+    ended: list[str] = field(default_factory=list)
 
 
 def make_group(
@@ -209,14 +217,14 @@
             return
         try:
             start(group, name)
-        except CrashError:
-            kill(group, name)
-            restart_later(group, name, delay)
         except DamagedFileError:
             if node.disk.is_syncing:
                 raise
             wipe(group, name)
             start(group, name)
+        except (CrashError, OSError):
+            kill(group, name)
+            restart_later(group, name, delay)
 
     schedule(group.queue, delay, restart)
 
@@ -259,6 +267,7 @@
 
 def restart_after_failure(group: Group, name: str) -> None:
     """Kill a process that cannot continue, and restart it later."""
+    group.ended.append(name)
     kill(group, name)
     restart_later(group, name, group.queue.rng.uniform(0.2, 3))
 
@@ -272,7 +281,7 @@
 
 def run_tick(group: Group, node: Node) -> None:
     """Run the tick of a replica and perform its effects."""
-    if node.replica is not None:
+    if node.replica is not None and may_step(group, node):
         perform_effects(
             group, node, consensus.tick(node.replica, group.queue.now)
         )
@@ -282,7 +291,11 @@
     """Save effects, then send messages, then reply to applied entries."""
     if node.replica is None or node.store is None:
         return
-    save_effects(node.store, effects, node.replica.log)
+    if not group.is_reloading:
+        save_effects(node.store, effects, node.replica.log)
+    elif save_step(node.store, node.replica, group.queue.now, effects):
+        end_replies(node)
+        return
     for outgoing in effects.sends:
         send_message(group, node.name, outgoing)
     for applied in effects.applied:
@@ -297,6 +310,22 @@
             save_commit(node.store, node.replica.commit_index)
 
 
+def end_replies(node: Node) -> None:
+    """End the proposals whose outcome is awaited, as unknown."""
+    for _, reply in node.replies_by_index.values():
+        reply(Unknown())
+    node.replies_by_index.clear()
+
+
+def may_step(group: Group, node: Node) -> bool:
+    """Return whether a replica may take a step, after a reload if it is due."""
+    return (
+        node.replica is not None
+        and node.store is not None
+        and ensure_reloaded(node.store, node.replica, group.queue.now)
+    )
+
+
 def applied_outcome(applied: Applied) -> AnyOutcome:
     """Return the outcome of an applied command."""
     if isinstance(applied, AppliedEdit):
@@ -328,7 +357,7 @@
 
 def run_step(group: Group, node: Node, message: ReplicaMessage) -> None:
     """Run the replica's step for a message and perform its effects."""
-    if node.replica is not None:
+    if node.replica is not None and may_step(group, node):
         effects = consensus.step(node.replica, group.queue.now, message)
         perform_effects(group, node, effects)
 
