Apply no entry that was saved but never committed after a full disk

Callers saw: a control instance whose disk was full put a change in force that no majority ever had, told its balancers, and ended by itself once the leader's entry contradicted it.

Cause: a step may replace a saved entry by the leader's and take that one as committed. When the disk refused the step, the replica returned to the saved log, with the old entry, but kept the commit index of the refused step.

Change: the commit index of the last step that was saved is kept beside the log, and is the one that a reload uses.

--- a/src/mustardhold/adapters/replica_reload.py
+++ b/src/mustardhold/adapters/replica_reload.py
@@ -45,6 +45,7 @@
         store.is_reload_due = True
         ensure_reloaded(store, replica, now)
         return error
+    store.committed_index = replica.commit_index
     return None
 
 
@@ -64,6 +65,11 @@
     store.commit_size = fresh.commit_size
     store.is_reload_due = False
     consensus.reload_saved_state(
-        replica, now, saved.vote, saved.snapshot, saved.log
+        replica,
+        now,
+        saved.vote,
+        saved.snapshot,
+        saved.log,
+        store.committed_index,
     )
     return True
--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -70,6 +70,9 @@
     commit_size
         Size of the commit index file in bytes, or ``MAX_COMMIT_BYTES`` if the
         next write must replace the file.
+    committed_index
+        Highest index that was known to be committed when a step was last
+        saved; the saved entries up to it are the committed ones.
     is_reload_due
         Whether the replica has to return to the saved state before its next
         step, as a full disk refused a write.
@@ -79,6 +82,7 @@
     batch_ends: list[tuple[int, int]] = field(default_factory=list)
     log_size: int = 0
     commit_size: int = 0
+    committed_index: int = 0
     is_reload_due: bool = False
 
 
@@ -149,7 +153,8 @@
         rewrite_log(store, log)
     if log[-1].term > vote.term:
         raise DamagedFileError(f'{VOTE_NAME} is missing or too old')
-    return store, SavedState(vote, snapshot, log, load_commit(store))
+    store.committed_index = load_commit(store)
+    return store, SavedState(vote, snapshot, log, store.committed_index)
 
 
 def open_log(store: ReplicaStore, *, is_new: bool) -> list[LogEntry]:
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -143,12 +143,16 @@
     vote: Vote,
     snapshot: Snapshot,
     log: list[LogEntry],
+    commit_index: int,
 ) -> None:
     """Reset the replica to its saved state, as after a restart.
 
-    Entries known to be committed stay committed if they were saved.
+    Parameters
+    ----------
+    commit_index
+        Highest index whose committed entry was saved. The index in memory may
+        be of an entry that the refused step put in the place of a saved one.
     """
-    commit_index = replica.commit_index
     become_follower(replica, None)
     restore_replica(replica, vote, snapshot, log, commit_index)
     replica.leader_contact_at = now
