Pass what a data directory holds as one value

Change: SavedState is among the tables of the replicas, and is passed whole.

Result: formatter, linter, types and the tests of the store pass.

--- a/src/mustardhold/adapters/replica_reload.py
+++ b/src/mustardhold/adapters/replica_reload.py
@@ -5,6 +5,7 @@
 """
 
 import errno
+from dataclasses import replace
 from typing import Final
 
 from mustardhold.adapters.replica_store import (
@@ -16,7 +17,7 @@
 from mustardhold.systems.election import become_follower
 from mustardhold.tables.consensus import Effects, Replica
 
-DISK_FULL_ERRORS: Final = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+DISK_FULL_ERRORS: Final = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 """No room on the device, or none within a quota or a limit of file size."""
 
 
@@ -64,12 +65,7 @@
     store.log_size = fresh.log_size
     store.commit_size = fresh.commit_size
     store.is_reload_due = False
-    consensus.reload_saved_state(
-        replica,
-        now,
-        saved.vote,
-        saved.snapshot,
-        saved.log,
-        store.committed_index,
-    )
+    # The commit index in memory may be of entries that were not saved.
+    saved = replace(saved, commit_index=store.committed_index)
+    consensus.reload_saved_state(replica, now, saved)
     return True
--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -22,6 +22,7 @@
     Effects,
     LogEntry,
     NoOp,
+    SavedState,
     Snapshot,
     Vote,
 )
@@ -86,22 +87,6 @@
     is_reload_due: bool = False
 
 
-@dataclass(slots=True)
-class SavedState:
-    """The state that was read when a data directory was opened.
-
-    Attributes
-    ----------
-    commit_index
-        Entries up to this index were committed; later ones may have been.
-    """
-
-    vote: Vote
-    snapshot: Snapshot
-    log: list[LogEntry]
-    commit_index: int = 0
-
-
 def open_identity(disk: Disk, instance_id: str, new_uid: str) -> Identity:
     """Read the identity of a data directory; create it in a new one.
 
--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -146,13 +146,7 @@
         local_member, peers or (local_member,), random.random, clock.monotonic()
     )
     replica.growth = growth
-    consensus.restore_replica(
-        replica,
-        saved.vote,
-        saved.snapshot,
-        saved.log,
-        saved.commit_index,
-    )
+    consensus.restore_replica(replica, saved)
     table_publisher = TablePublisher(
         lambda: replica.edits.table,
         lambda: has_leader_contact(replica, clock.monotonic()),
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -56,6 +56,7 @@
     ReplicaMember,
     ReplicaMessage,
     Role,
+    SavedState,
     Snapshot,
     SnapshotRequest,
     Vote,
@@ -118,43 +119,25 @@
     return replica
 
 
-def restore_replica(
-    replica: Replica,
-    vote: Vote,
-    snapshot: Snapshot,
-    log: list[LogEntry],
-    commit_index: int = 0,
-) -> None:
+def restore_replica(replica: Replica, saved: SavedState) -> None:
     """Load saved state into a replica and apply its committed entries."""
-    replica.vote = vote
+    snapshot = saved.snapshot
+    replica.vote = saved.vote
     replica.snapshot = snapshot
-    replica.log = log
+    replica.log = saved.log
     replica.edits = copy_state(snapshot.edits)
     replica.configuration = snapshot.configuration
     replica.evacuations = snapshot.evacuations
     replica.commit_index = snapshot.index
     load_members_from_log(replica)
-    commit_to(replica, min(commit_index, last_entry(replica).index), Effects())
+    index = min(saved.commit_index, last_entry(replica).index)
+    commit_to(replica, index, Effects())
 
 
-def reload_saved_state(
-    replica: Replica,
-    now: float,
-    vote: Vote,
-    snapshot: Snapshot,
-    log: list[LogEntry],
-    commit_index: int,
-) -> None:
-    """Reset the replica to its saved state, as after a restart.
-
-    Parameters
-    ----------
-    commit_index
-        Highest index whose committed entry was saved. The index in memory may
-        be of an entry that the refused step put in the place of a saved one.
-    """
+def reload_saved_state(replica: Replica, now: float, saved: SavedState) -> None:
+    """Reset the replica to its saved state, as after a restart."""
     become_follower(replica, None)
-    restore_replica(replica, vote, snapshot, log, commit_index)
+    restore_replica(replica, saved)
     replica.leader_contact_at = now
     reset_election_timer(replica, now)
 
--- a/src/mustardhold/tables/consensus.py
+++ b/src/mustardhold/tables/consensus.py
@@ -121,6 +121,24 @@
     evacuations: EvacuationState = NO_EVACUATIONS
 
 
+@dataclass(frozen=True, slots=True)
+class SavedState:
+    """What the data directory of a replica holds.
+
+    Attributes
+    ----------
+    log
+        Belongs to the replica once that has been restored.
+    commit_index
+        Entries up to this index were committed; later ones may have been.
+    """
+
+    vote: Vote
+    snapshot: Snapshot
+    log: list[LogEntry]
+    commit_index: int = 0
+
+
 class VoteRequest(msgspec.Struct, frozen=True, tag='vote-request'):
     """Requests a vote or a pre-vote.
 
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -39,7 +39,7 @@
         local_member, (local_member,), random.Random(1).random, 0
     )
     store, saved = open_store(disk)
-    consensus.restore_replica(replica, saved.vote, saved.snapshot, saved.log)
+    consensus.restore_replica(replica, saved)
     for now in (0, 3, 3.1):
         save_effects(store, consensus.tick(replica, now), replica.log)
     first = replica.edits.table.version
@@ -145,9 +145,7 @@
         local_member, (local_member,), random.Random(1).random, 0
     )
     _, saved = open_store(disk)
-    consensus.restore_replica(
-        replica, saved.vote, saved.snapshot, saved.log, saved.commit_index
-    )
+    consensus.restore_replica(replica, saved)
     return replica
 
 
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -38,9 +38,7 @@
         self.replica = consensus.make_replica(
             C1, (C1, C2, C3), random.Random(1).random, 0
         )
-        consensus.restore_replica(
-            self.replica, saved.vote, saved.snapshot, saved.log
-        )
+        consensus.restore_replica(self.replica, saved)
 
     def receive(self, message):
         """Take a step as the daemon does; return whether it was saved."""
@@ -52,7 +50,7 @@
 
 @pytest.fixture
 def process():
-    """A replica with a saved entry at index 3 that was never committed."""
+    """Make a replica with a saved entry at index 3 that was never committed."""
     made = Process()
     first = (FOUNDED, LogEntry(1, 2, NoOp()))
     assert made.receive(AppendRequest(C2, 1, 0, 0, first, 2, 0))
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -181,9 +181,7 @@
     if group.voters:
         # A group may be formed only on the first start of a process.
         replica.growth = GrowthPolicy(group.voters, node.starts == 1)
-    consensus.restore_replica(
-        replica, saved.vote, saved.snapshot, saved.log, saved.commit_index
-    )
+    consensus.restore_replica(replica, saved)
     node.replica = replica
     node.store = store
     group.network.down.discard(name)
