Repair the log after a full disk once there is room, and end no process

Callers saw: a control instance whose full disk refused more than appends ended by itself, and again at each start, so its reports and feed were gone.

Cause: after a refused write, the replica returns to its saved state, which may cut off half a record or write a new log. An error of that repair counted as one of a broken disk.

Change: the return to the saved state is tried at each tick until it works; until then the replica takes no step and leads nothing.

--- a/src/mustardhold/adapters/replica_reload.py
+++ b/src/mustardhold/adapters/replica_reload.py
@@ -1,7 +1,8 @@
 """Saves the steps of a replica; returns to what the disk holds if it is full.
 
 What a step changed in memory counts only once it is saved. So after a refused
-write the replica returns to its saved state.
+write the replica returns to its saved state. To repair the log may need room as
+well; until there is some, the replica takes no step.
 """
 
 import errno
@@ -46,7 +47,8 @@
         store.is_reload_due = True
         ensure_reloaded(store, replica, now)
         return error
-    store.committed_index = replica.commit_index
+    if not store.is_reload_due:
+        store.committed_index = replica.commit_index
     return None
 
 
@@ -60,7 +62,12 @@
     """
     if not store.is_reload_due:
         return True
-    fresh, saved = open_store(store.disk)
+    try:
+        fresh, saved = open_store(store.disk)
+    except OSError as error:
+        if error.errno not in DISK_FULL_ERRORS:
+            raise
+        return False
     store.batch_ends = fresh.batch_ends
     store.log_size = fresh.log_size
     store.commit_size = fresh.commit_size
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+import trio
 
 from mustardhold.adapters import record_files
 from mustardhold.adapters.clock import SystemClock
@@ -19,10 +20,12 @@
     ConfigurationCommand,
     LogEntry,
     NoOp,
+    NotLeader,
     Pending,
     ReplicaMember,
     Role,
 )
+from mustardhold.tables.constants import REPLICA_TICK
 from mustardhold.tables.options import ControlOptions
 from mustardhold.tables.routing import Accepted, Edit, EntryKind, Unknown
 
@@ -56,13 +59,20 @@
         replica_node.step_replica(node, contradicting_append())
 
 
-def fill_disk(monkeypatch, node):
-    """Make every append to the disk fail as if it were full."""
+def fill_disk(monkeypatch, node, *others):
+    """Make appends and other operations fail as if the disk were full."""
+    append = type(node.disk).append
 
-    def refuse(_, name, content):
+    def append_half(disk, name, content):
+        append(disk, name, content[: len(content) // 2])
         raise OSError(errno.ENOSPC, f'{name}: {len(content)} bytes too many')
 
-    monkeypatch.setattr(type(node.disk), 'append', refuse)
+    def refuse(_, name, *_arguments):
+        raise OSError(errno.ENOSPC, f'{name}: too many bytes')
+
+    monkeypatch.setattr(type(node.disk), 'append', append_half)
+    for operation in others:
+        monkeypatch.setattr(type(node.disk), operation, refuse)
 
 
 def propose(node, version):
@@ -118,6 +128,25 @@
     assert not node.stopping.is_set()
 
 
+async def test_full_disk_that_refuses_the_repair_ends_no_process(node):
+    """Guards against a process that ends while its log cannot be repaired."""
+    propose(node, 1)
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        fill_disk(monkeypatch, node, 'truncate', 'sync')
+        _, pending = propose(node, 2)
+        assert pending.done.is_set()
+        sender = ReplicaMember('c2/1', 'c2', '127.0.0.1:2')
+        replica_node.step_replica(
+            node, AppendRequest(sender, 9, 4, 1, (), 3, 0)
+        )
+        assert isinstance(propose(node, 3)[0], NotLeader)
+    assert not node.stopping.is_set()
+    with trio.move_on_after(4 * REPLICA_TICK.total_seconds()):
+        await replica_node.run_replica(node)
+    assert not node.store.is_reload_due
+    assert node.replica.configuration.version == 1
+
+
 async def test_failed_write_ends_the_process(node, monkeypatch):
     def fail(*_):
         raise OSError('no space left on device')
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -1,5 +1,6 @@
 """A replica whose disk is full returns to what was saved, and goes on later."""
 
+import errno
 import random
 
 import pytest
@@ -11,10 +12,12 @@
 from mustardhold.tables.consensus import (
     AppendRequest,
     ConfigurationCommand,
+    Effects,
     LogEntry,
     MembersCommand,
     NoOp,
     ReplicaMember,
+    Role,
 )
 from tools.fakes.disks import FakeDisk
 
@@ -22,6 +25,7 @@
     ReplicaMember(f'{name}/1', name, name) for name in ('c1', 'c2', 'c3')
 )
 FOUNDED = LogEntry(1, 1, MembersCommand((C1, C2, C3)))
+EVERYTHING = frozenset({'append', 'sync', 'rename', 'truncate', 'sync_folder'})
 
 
 def configured(term, index, version):
@@ -65,7 +69,7 @@
 )
 
 
-@pytest.mark.parametrize('refused', [{'append'}, {'sync'}])
+@pytest.mark.parametrize('refused', [{'append'}, {'sync'}, EVERYTHING])
 def test_refused_step_commits_no_entry_that_it_would_have_replaced(
     process, refused
 ):
@@ -77,3 +81,28 @@
     process.disk.refused = frozenset()
     assert process.receive(OTHER_ENTRIES)
     assert process.replica.configuration.version == 8
+
+
+@pytest.mark.parametrize('allowed', range(6))
+def test_refused_repair_is_tried_again_until_there_is_room(process, allowed):
+    """Guards against a process that ends while its full log is repaired."""
+    process.disk.refused, process.disk.allowed = EVERYTHING, allowed
+    for _ in range(3):
+        process.receive(OTHER_ENTRIES)
+        # A proposal runs no step, so it is saved at once.
+        assert save_step(process.store, process.replica, 1, Effects()) is None
+    assert process.replica.role is not Role.LEADER
+    process.disk.refused = frozenset()
+    assert ensure_reloaded(process.store, process.replica, 1)
+    assert process.replica.configuration.version == 0
+    assert process.receive(OTHER_ENTRIES)
+    assert process.replica.configuration.version == 8
+    _, saved = open_store(process.disk)
+    assert saved.log == process.replica.log
+
+
+def test_failure_of_another_kind_is_raised(process):
+    """A disk that is broken must not count as one that is full."""
+    process.disk.refused, process.disk.error = EVERYTHING, errno.EIO
+    with pytest.raises(OSError, match='refused'):
+        process.receive(OTHER_ENTRIES)
