Sync what a start reads before it is acted on

Callers would see: an acknowledged change that is gone after a loss of power, if a control instance had been killed, or its disk had refused a sync, just before it acknowledged.

Cause: an entry that is in the file but was never synced is read at the next start, or at the return to the saved state. It need not be written again, so it was acknowledged without a sync; the same holds for a renamed vote.

Change: opening the data directory syncs the log and the folder. The return to the saved state waits while a full disk refuses that; the test of refused steps now looks after that return, and never sees the uncommitted version before it either.

--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -160,7 +160,10 @@
     log = load_log(store, records)
     if raw is not None and store.log_size < len(raw):
         store.disk.truncate(LOG_NAME, store.log_size)
-        store.disk.sync(LOG_NAME)
+    # The last write or rename may not have been synced, and what was read will
+    # be acknowledged.
+    store.disk.sync(LOG_NAME)
+    store.disk.sync_folder()
     return log
 
 
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from mustardhold.adapters.disk import (
@@ -9,11 +10,13 @@
     close_folder,
     open_folder,
 )
-from mustardhold.adapters.records import DamagedFileError
+from mustardhold.adapters.record_files import write_record_file
+from mustardhold.adapters.records import DamagedFileError, pack_record
 from mustardhold.adapters.replica_store import (
     COMMIT_NAME,
     LOG_NAME,
     MAX_COMMIT_BYTES,
+    VOTE_NAME,
     ForeignFolderError,
     open_identity,
     open_store,
@@ -23,7 +26,7 @@
 from mustardhold.systems import consensus
 from mustardhold.systems.replica_log import approximate_size, entries_after
 from mustardhold.tables.configurations import VersionedDocument
-from mustardhold.tables.consensus import Pending, ReplicaMember
+from mustardhold.tables.consensus import Pending, ReplicaMember, Vote
 from mustardhold.tables.constants import (
     MAX_BYTES_PER_MESSAGE,
     SNAPSHOT_BYTES,
@@ -201,3 +204,31 @@
     for index in range(1, 2000):
         save_commit(store, index)
     assert len(disk.read(COMMIT_NAME)) <= MAX_COMMIT_BYTES + 64
+
+
+def test_entry_that_a_killed_process_left_unsynced_is_durable_after_a_start():
+    """Guards against an entry that is acknowledged but lost with the power."""
+    disk = FakeDisk(random.Random(1))
+    replica = run_single_replica(disk, 3)
+    entry = msgspec.structs.replace(
+        replica.log[-1], index=replica.log[-1].index + 1
+    )
+    disk.append(LOG_NAME, pack_record(msgspec.msgpack.encode((entry,))))
+    _, saved = open_store(disk)
+    assert saved.log[-1] == entry
+    crash(disk)
+    _, after = open_store(disk)
+    assert after.log == saved.log
+
+
+def test_vote_that_a_killed_process_left_unsynced_is_durable_after_a_start():
+    """Guards against a second vote in a term, after a loss of power."""
+    disk = FakeDisk(random.Random(1))
+    run_single_replica(disk, 1)
+    synced_names = dict(disk.synced_names)
+    write_record_file(disk, VOTE_NAME, msgspec.msgpack.encode(Vote(9, 'c2/1')))
+    # The process was killed between the rename and the sync of the folder.
+    disk.synced_names = synced_names
+    _, saved = open_store(disk)
+    assert saved.vote == Vote(9, 'c2/1')
+    assert disk.synced_names[VOTE_NAME] is disk.files_by_name[VOTE_NAME]
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -76,9 +76,11 @@
     """Guards against a commit index of memory that is applied to the disk."""
     process.disk.refused = frozenset(refused)
     assert not process.receive(OTHER_ENTRIES)
+    assert process.replica.configuration.version != 7
+    process.disk.refused = frozenset()
+    assert ensure_reloaded(process.store, process.replica, 1)
     assert process.replica.commit_index == 2
     assert process.replica.configuration.version == 0
-    process.disk.refused = frozenset()
     assert process.receive(OTHER_ENTRIES)
     assert process.replica.configuration.version == 8
 
