--- a/src/mustardhold/daemons/replica_node.py
+++ b/src/mustardhold/daemons/replica_node.py
@@ -23,6 +23,11 @@
 )
 from mustardhold.daemons.error_reporting import ErrorReporter, report_error
 from mustardhold.daemons.replica_links import Links, send_message
+from mustardhold.daemons.replica_logs import (
+    LoggedReplica,
+    log_changes,
+    log_snapshots,
+)
 from mustardhold.daemons.table_handlers import TablePublisher, wake_watchers
 from mustardhold.systems import consensus
 from mustardhold.systems.election import has_leader_contact, has_lease
@@ -35,7 +40,6 @@
     Replica,
     ReplicaMember,
     ReplicaMessage,
-    Role,
 )
 from mustardhold.tables.constants import REPLICA_TICK
 from mustardhold.tables.observations import Observations
@@ -86,8 +90,8 @@
         Error of a failed step; the replica processes nothing after it.
     on_applied
         Called after each step that applied log entries or a snapshot.
-    logged_role
-        Role and term at the latest call of ``log_role``.
+    logged
+        What was logged of the replica last.
     data_centres
         Data centres that the settings name; only these may be evacuated.
     logged_revision
@@ -109,7 +113,7 @@
     proposals_by_index: dict[int, PendingProposal] = field(default_factory=dict)
     failure: Exception | None = None
     on_applied: Callable[[], None] = ignore_applied
-    logged_role: tuple[Role, int] = (Role.FOLLOWER, 0)
+    logged: LoggedReplica = field(default_factory=LoggedReplica)
     data_centres: frozenset[str] = frozenset()
     logged_revision: int = 0
 
@@ -207,7 +211,7 @@
     if error is not None:
         report_error(node.error_reporter, 'disk-full', error)
         end_proposals(node)
-        log_role(node)
+        log_changes(node.log, node.logged, node.replica)
         return
     if node.links is not None:
         for outgoing in effects.sends:
@@ -217,7 +221,8 @@
     if effects.applied or effects.snapshot is not None:
         wake_watchers(node.table_publisher)
         node.on_applied()
-    log_role(node)
+    log_changes(node.log, node.logged, node.replica)
+    log_snapshots(node.log, effects)
     if effects.applied:
         save_commit_index(node)
 
@@ -287,20 +292,6 @@
     return Accepted(node.replica.configuration.version)
 
 
-def log_role(node: ReplicaNode) -> None:
-    """Log when this replica becomes the leader or ceases to be it."""
-    role_and_term = (node.replica.role, node.replica.vote.term)
-    if role_and_term == node.logged_role:
-        return
-    was_leader = node.logged_role[0] is Role.LEADER
-    node.logged_role = role_and_term
-    if was_leader or role_and_term[0] is Role.LEADER:
-        node.log.info(
-            'leadership changed',
-            extra={'role': role_and_term[0], 'term': role_and_term[1]},
-        )
-
-
 async def run_replica(node: ReplicaNode) -> None:
     """Run the timer tick of a replica until a step fails."""
     while node.failure is None:
