Let a replica that lags catch up while changes come quickly

Replicas whose disks had been full lagged for up to 8 s after they had room.

The log was cut behind it while it was on its way, so that the next one was needed, and that waited for 5 s, whether the last one had been installed, refused by a full disk, or lost.

It goes out also where the entries are much longer. The log keeps what follows it for members that were in contact lately, up to 2 MiB.

--- a/src/mustardhold/daemons/replica_logs.py
+++ b/src/mustardhold/daemons/replica_logs.py
@@ -56,7 +56,8 @@
     if (role, term) == (logged.role, logged.term):
         return
     was_leader = logged.role is Role.LEADER
-    logged.role, logged.term = role, term
+    logged.role = role
+    logged.term = term
     if was_leader or role is Role.LEADER:
         log.info('leadership changed', extra={'role': role, 'term': term})
 
--- a/src/mustardhold/systems/consensus.py
+++ b/src/mustardhold/systems/consensus.py
@@ -20,7 +20,6 @@
 from mustardhold.systems.replica_growth import grow_group
 from mustardhold.systems.replica_log import (
     append_command,
-    compact,
     entry_at,
     last_entry,
     load_members_from_log,
@@ -38,6 +37,7 @@
     handle_append_reply,
     handle_snapshot,
 )
+from mustardhold.systems.snapshots import compact
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.consensus import (
     AppendReply,
@@ -158,7 +158,7 @@
             handle_snapshot(replica, now, message, effects)
         case Hello():
             handle_hello(replica, now, message, effects)
-    compact(replica, effects)
+    compact(replica, now, effects)
     return effects
 
 
@@ -170,7 +170,7 @@
         start_pre_vote(replica, now, effects)
     if replica.role is Role.LEADER:
         tick_leader(replica, now, effects)
-    compact(replica, effects)
+    compact(replica, now, effects)
     return effects
 
 
@@ -229,7 +229,7 @@
     entry = append_command(replica, command, effects)
     commit_majority(replica, effects)
     broadcast(replica, now, effects)
-    compact(replica, effects)
+    compact(replica, now, effects)
     return Pending(entry.index, entry.term)
 
 
--- a/src/mustardhold/systems/replica_log.py
+++ b/src/mustardhold/systems/replica_log.py
@@ -1,8 +1,7 @@
-"""The replicated log in memory: lookup, append and compaction."""
+"""The replicated log in memory: lookup and append."""
 
 from collections.abc import Iterable, Sequence
 
-from mustardhold.systems.edits import copy_state
 from mustardhold.tables.consensus import (
     Command,
     ConfigurationCommand,
@@ -10,17 +9,11 @@
     LogEntry,
     Members,
     MembersCommand,
-    NoOp,
     Replica,
-    Snapshot,
 )
 from mustardhold.tables.constants import (
     MAX_BYTES_PER_MESSAGE,
     MAX_ENTRIES_PER_MESSAGE,
-    RETAINED_LOG_BYTES,
-    RETAINED_LOG_ENTRIES,
-    SNAPSHOT_BYTES,
-    SNAPSHOT_ENTRIES,
 )
 
 ENTRY_BYTES = 256
@@ -137,56 +130,3 @@
         if entry.index <= index and isinstance(entry.command, MembersCommand):
             return entry.command.members
     return replica.snapshot.members
-
-
-def needs_compaction(replica: Replica, effects: Effects) -> bool:
-    """Return whether the log has enough entries or bytes to slow a restart."""
-    if replica.commit_index - replica.snapshot.index >= SNAPSHOT_ENTRIES:
-        return True
-    # A log over the byte limit can shrink only by newly applied entries.
-    return bool(effects.applied) and (
-        sum(approximate_size(entry) for entry in replica.log) > SNAPSHOT_BYTES
-    )
-
-
-def compact(replica: Replica, effects: Effects) -> None:
-    """Replace applied entries by a snapshot once the log is long."""
-    if not needs_compaction(replica, effects):
-        return
-    index = replica.commit_index
-    entry = entry_at(replica, index)
-    if entry is None:
-        return
-    members = members_at(replica, index)
-    edits = copy_state(replica.edits)
-    replica.snapshot = Snapshot(
-        index,
-        entry.term,
-        members,
-        edits,
-        replica.configuration,
-        replica.evacuations,
-    )
-    applied = replica.log[: index + 1 - replica.log[0].index]
-    retained_count = count_within(
-        reversed(applied), RETAINED_LOG_ENTRIES, RETAINED_LOG_BYTES
-    )
-    del replica.log[: max(len(applied) - retained_count, 0)]
-    effects.snapshot = replica.snapshot
-    effects.is_log_rewritten = True
-
-
-def install_snapshot(
-    replica: Replica, snapshot: Snapshot, effects: Effects
-) -> None:
-    """Replace the state by a snapshot that is ahead of the commit index."""
-    if not has_entry(replica, snapshot.index, snapshot.term):
-        replica.log = [LogEntry(snapshot.term, snapshot.index, NoOp())]
-    replica.snapshot = snapshot
-    replica.edits = copy_state(snapshot.edits)
-    replica.configuration = snapshot.configuration
-    replica.evacuations = snapshot.evacuations
-    replica.commit_index = snapshot.index
-    load_members_from_log(replica)
-    effects.snapshot = snapshot
-    effects.is_log_rewritten = True
--- a/src/mustardhold/systems/replication.py
+++ b/src/mustardhold/systems/replication.py
@@ -16,9 +16,14 @@
     entries_after,
     entry_at,
     has_entry,
-    install_snapshot,
     last_entry,
 )
+from mustardhold.systems.snapshots import (
+    install_snapshot,
+    is_snapshot_due,
+    make_snapshot,
+    needs_snapshot,
+)
 from mustardhold.tables.consensus import (
     AppendReply,
     AppendRequest,
@@ -39,7 +44,6 @@
 )
 from mustardhold.tables.constants import (
     HEARTBEAT_INTERVAL,
-    SNAPSHOT_RETRY,
 )
 from mustardhold.tables.edits import EditOrigin
 
@@ -61,11 +65,12 @@
 def send_entries(
     replica: Replica, now: float, member: ReplicaMember, effects: Effects
 ) -> None:
-    """Send a member its next entries, after a snapshot if it needs one."""
+    """Send a member its next entries, or a snapshot if it needs one."""
     progress = progress_of(replica, member.uid)
     previous = entry_at(replica, progress.next_index - 1)
-    if previous is None:
+    if previous is None or needs_snapshot(replica, previous.index):
         send_snapshot(replica, now, member, effects)
+        # No entries: they follow once the member holds the snapshot.
         previous = last_entry(replica)
     request = AppendRequest(
         replica.local_member,
@@ -82,14 +87,17 @@
 def send_snapshot(
     replica: Replica, now: float, member: ReplicaMember, effects: Effects
 ) -> None:
-    """Send a member the snapshot, unless one was sent recently."""
+    """Send a member the snapshot, unless the last one is on its way."""
     progress = progress_of(replica, member.uid)
-    if now - progress.snapshot_sent_at < SNAPSHOT_RETRY.total_seconds():
+    if not is_snapshot_due(progress, now):
         return
+    snapshot = make_snapshot(replica)
+    progress.snapshot_index = snapshot.index
     progress.snapshot_sent_at = now
+    progress.lacks_snapshot = False
     replica.counters['replication', 'snapshot-sent'] += 1
     request = SnapshotRequest(
-        replica.local_member, replica.vote.term, replica.snapshot, now
+        replica.local_member, replica.vote.term, snapshot, now
     )
     effects.sends.append(ReplicaSend(member, request))
 
@@ -207,8 +215,7 @@
         return
     progress.last_contact_at = max(progress.last_contact_at, reply.sent_at)
     if not reply.is_matching:
-        progress.next_index = max(progress.match_index, reply.match_index) + 1
-        send_entries(replica, now, reply.sender, effects)
+        handle_mismatch(replica, now, reply, effects)
         return
     progress.match_index = max(progress.match_index, reply.match_index)
     progress.next_index = progress.match_index + 1
@@ -217,6 +224,24 @@
         send_entries(replica, now, reply.sender, effects)
 
 
+def handle_mismatch(
+    replica: Replica, now: float, reply: AppendReply, effects: Effects
+) -> None:
+    """Go back to where a member's log may match, and send from there.
+
+    While a snapshot is on its way there is nothing to send: each message would
+    only cause the next mismatch.
+    """
+    progress = replica.progress_by_uid[reply.sender.uid]
+    progress.next_index = max(progress.match_index, reply.match_index) + 1
+    if reply.sent_at >= progress.snapshot_sent_at:
+        # Messages to a member arrive in the order in which they were sent.
+        progress.lacks_snapshot = True
+    needs_one = needs_snapshot(replica, progress.next_index - 1)
+    if not needs_one or is_snapshot_due(progress, now):
+        send_entries(replica, now, reply.sender, effects)
+
+
 def commit_majority(replica: Replica, effects: Effects) -> None:
     """Commit entries that a majority holds.
 
--- a/src/mustardhold/tables/consensus.py
+++ b/src/mustardhold/tables/consensus.py
@@ -302,12 +302,19 @@
     last_contact_at
         When the latest message with a reply was sent, on the leader's
         monotonic clock, in seconds.
+    snapshot_index, snapshot_sent_at
+        Index of the snapshot that was sent last, and when; same clock.
+    lacks_snapshot
+        Whether the replica has replied to a later message without holding it:
+        it was lost, or a full disk refused it.
     """
 
     next_index: int
     match_index: int = 0
     last_contact_at: float = float('-inf')
+    snapshot_index: int = 0
     snapshot_sent_at: float = float('-inf')
+    lacks_snapshot: bool = False
 
 
 @dataclass(slots=True)
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -98,8 +98,15 @@
 HELLO_LIFETIME: Final = timedelta(seconds=3)
 REPLICA_CONTACT_TIMEOUT: Final = timedelta(seconds=1)
 VOTER_LOSS_TIMEOUT: Final = timedelta(milliseconds=1_500)
+# If the learner that is to replace the voter has not caught up.
+UNREADY_VOTER_LOSS_TIMEOUT: Final = timedelta(seconds=3)
 LEARNER_RETENTION: Final = timedelta(seconds=15)
 SNAPSHOT_RETRY: Final = timedelta(seconds=5)
+SNAPSHOT_QUICK_RETRY: Final = timedelta(milliseconds=500)
+# A member that was lost for longer gets a snapshot again.
+CATCH_UP_PERIOD: Final = timedelta(seconds=10)
+MAX_CATCH_UP_BYTES: Final = 2_097_152
+MAX_CATCH_UP_ENTRIES: Final = 4_000
 TABLE_POLL_WAIT: Final = timedelta(milliseconds=1_500)
 TABLE_POLL_MARGIN: Final = timedelta(milliseconds=800)
 TABLE_POLL_RETRY: Final = timedelta(milliseconds=200)
--- /dev/null
+++ b/tests/test_catching_up.py
@@ -0,0 +1,149 @@
+"""Replicas that lack entries catch up, also while changes come quickly."""
+
+import random
+
+import pytest
+
+from mustardhold.systems import consensus
+from mustardhold.systems.replication import send_entries
+from mustardhold.tables.configurations import VersionedDocument
+from mustardhold.tables.consensus import (
+    AppendReply,
+    AppendRequest,
+    Effects,
+    Progress,
+    ReplicaMember,
+    Role,
+    SnapshotRequest,
+)
+from mustardhold.tables.constants import (
+    MAX_CATCH_UP_BYTES,
+    SNAPSHOT_BYTES,
+    SNAPSHOT_QUICK_RETRY,
+    SNAPSHOT_RETRY,
+)
+from mustardhold.tables.options import GrowthPolicy
+
+DOCUMENT_BYTES = 50_000
+LEADER, FOLLOWER, LOST = (
+    ReplicaMember(f'{name}/1', name, name) for name in ('c1', 'c2', 'c3')
+)
+RETURNED = ReplicaMember('c3/2', 'c3', 'c3')
+EARLIER = ReplicaMember('c3/3', 'c3', 'c3', is_voter=False)
+FURTHER = ReplicaMember('c4/1', 'c4', 'c4', is_voter=False)
+POLICY = GrowthPolicy(3, may_form=True)
+
+
+class Leader:
+    """A leader of three voters whose followers are played by the test."""
+
+    def __init__(self, members=(LEADER, FOLLOWER, LOST)):
+        self.now = 10.0
+        self.replica = consensus.make_replica(
+            LEADER, members, random.Random(1).random, 0
+        )
+        self.replica.members = members
+        self.replica.role = Role.LEADER
+        self.replica.leader_since = 0
+        self.replica.progress_by_uid = {
+            member.uid: Progress(1, last_contact_at=self.now)
+            for member in members
+            if member != LEADER
+        }
+        self.version = 0
+
+    def confirm(self, member, index=None):
+        """Process the reply of a member that holds the log up to an index."""
+        if index is None:
+            index = self.replica.log[-1].index
+        reply = AppendReply(
+            member, self.replica.vote.term, True, index, self.now
+        )
+        return consensus.step(self.replica, self.now, reply)
+
+    def refuse(self, member):
+        """Process the reply of a member that holds nothing yet."""
+        reply = AppendReply(member, self.replica.vote.term, False, 0, self.now)
+        return consensus.step(self.replica, self.now, reply)
+
+    def change(self, count):
+        """Commit large configurations with the replies of the follower."""
+        for _ in range(count):
+            self.version += 1
+            document = VersionedDocument(self.version, bytes(DOCUMENT_BYTES))
+            consensus.propose_configuration(self.replica, self.now, document)
+            self.confirm(FOLLOWER)
+
+    def send(self, member):
+        """Return the messages to a member at its next heartbeat."""
+        effects = Effects()
+        send_entries(self.replica, self.now, member, effects)
+        return messages_to(effects, member)
+
+
+def messages_to(effects, member):
+    return [one.message for one in effects.sends if one.receiver == member]
+
+
+def snapshots(messages):
+    return [
+        one.snapshot.index
+        for one in messages
+        if isinstance(one, SnapshotRequest)
+    ]
+
+
+@pytest.fixture
+def leader():
+    """Make a leader whose log no longer holds what the lost voter needs."""
+    made = Leader()
+    progress = made.replica.progress_by_uid[LOST.uid]
+    progress.last_contact_at = float('-inf')
+    made.change(30)
+    assert made.replica.log[0].index > 1
+    made.now += SNAPSHOT_RETRY.total_seconds()
+    made.confirm(FOLLOWER)
+    made.refuse(LOST)
+    made.now += SNAPSHOT_RETRY.total_seconds()
+    made.confirm(FOLLOWER)
+    return made
+
+
+def test_snapshot_is_as_new_as_the_commit_index(leader):
+    """Guards against a snapshot that the log has overtaken when it is sent."""
+    assert snapshots(leader.send(LOST)) == [leader.replica.commit_index]
+    assert not snapshots(leader.send(LOST))
+
+
+def test_overtaken_snapshot_is_followed_by_the_next_at_once(leader):
+    """Guards against a replica that waits seconds for its next snapshot."""
+    (first,) = snapshots(leader.send(LOST))
+    leader.change(60)
+    assert leader.replica.log[0].index > first
+    (second,) = snapshots(messages_to(leader.confirm(LOST, first), LOST))
+    assert second == leader.replica.commit_index
+
+
+def test_refused_snapshot_is_sent_again_after_a_short_time(leader):
+    """Guards against a wait of seconds after a full disk refused it."""
+    assert snapshots(leader.send(LOST))
+    assert not snapshots(messages_to(leader.refuse(LOST), LOST))
+    leader.now += SNAPSHOT_QUICK_RETRY.total_seconds()
+    assert snapshots(messages_to(leader.refuse(LOST), LOST))
+
+
+def test_entries_that_follow_a_sent_snapshot_stay_in_the_log(leader):
+    """Guards against a replica that can never catch up with a storm."""
+    (sent,) = snapshots(leader.send(LOST))
+    leader.change(SNAPSHOT_BYTES // DOCUMENT_BYTES + 1)
+    messages = messages_to(leader.confirm(LOST, sent), LOST)
+    (request,) = messages
+    assert isinstance(request, AppendRequest)
+    assert request.entries[0].index == sent + 1
+
+
+def test_log_that_a_lagging_replica_waits_for_has_a_limit(leader):
+    assert snapshots(leader.send(LOST))
+    leader.change(2 * MAX_CATCH_UP_BYTES // DOCUMENT_BYTES)
+    size = len(leader.replica.log) * DOCUMENT_BYTES
+    assert size < MAX_CATCH_UP_BYTES + 2 * SNAPSHOT_BYTES
--- a/tools/fakes/replicas.py
+++ b/tools/fakes/replicas.py
@@ -29,6 +29,7 @@
     ReplicaMessage,
     ReplicaSend,
     Role,
+    SnapshotRequest,
 )
 from mustardhold.tables.options import GrowthPolicy
 from mustardhold.tables.routing import (
@@ -102,6 +103,10 @@
         not, its process ends.
     ended
         Names of the processes that ended by themselves.
+    snapshot_seconds
+        Time that a snapshot takes on a link, where later messages wait for it.
+    link_free_at
+        When the messages sent so far have passed a link from one to another.
     """
 
     queue: EventQueue
@@ -117,6 +122,8 @@
     voters: int = 0
     is_reloading: bool = True
     ended: list[str] = field(default_factory=list)
+    snapshot_seconds: float = 0
+    link_free_at: dict[tuple[str, str], float] = field(default_factory=dict)
 
 
 def make_group(
@@ -350,7 +357,34 @@
         if replica is not None and uid in {'', replica.local_member.uid}:
             run_step(group, group.nodes_by_name[name], outgoing.message)
 
-    send(group.network, sender, name, lambda: run_on_node(group, name, deliver))
+    def post() -> None:
+        send(
+            group.network,
+            sender,
+            name,
+            lambda: run_on_node(group, name, deliver),
+        )
+
+    is_snapshot = isinstance(outgoing.message, SnapshotRequest)
+    delay = time_on_link(group, sender, name, is_snapshot=is_snapshot)
+    if delay:
+        schedule(group.queue, delay, post)
+    else:
+        post()
+
+
+def time_on_link(
+    group: Group, sender: str, receiver: str, *, is_snapshot: bool
+) -> float:
+    """Return the seconds until a message gets through behind earlier ones."""
+    now = group.queue.now
+    free_at = max(group.link_free_at.get((sender, receiver), now), now)
+    if not is_snapshot:
+        return free_at - now
+    free_at += group.snapshot_seconds
+    # Later messages must not overtake it by their shorter delays.
+    group.link_free_at[sender, receiver] = free_at + group.network.max_delay
+    return free_at - now
 
 
 def run_step(group: Group, node: Node, message: ReplicaMessage) -> None:
