Replace a voter by its instance's new folder in one change

Cause: a new data directory became a learner, the old voter was removed once the learner had caught up, and only then it was promoted. Under the storm it had hardly ever caught up, and between the two changes the two other voters were both needed.

Evidence: the trace: the leader was killed between "members changed" to two voters and the next one. The tests of the returned instance, of the learner and of even numbers of voters failed before.

Change: the old directory of an instance that came back with another one never votes again, so one change replaces it, at once: each majority without it shares a replica with each majority of the new voters, and the new one confirms nothing before it holds all earlier entries. Where the number of voters is even, one more makes no larger majority, so a learner that lags may be promoted.

--- a/src/mustardhold/systems/replica_growth.py
+++ b/src/mustardhold/systems/replica_growth.py
@@ -10,11 +10,13 @@
 import msgspec
 
 from mustardhold.systems.election import last_contact_with, other_members
+from mustardhold.systems.replica_log import entry_at
 from mustardhold.systems.replica_membership import (
     change_members,
     find_change_error,
 )
 from mustardhold.systems.replication import match_index_of
+from mustardhold.systems.snapshots import is_one_message
 from mustardhold.tables.consensus import (
     Effects,
     Members,
@@ -26,6 +28,7 @@
     LEARNER_RETENTION,
     MAX_REPLICAS,
     REPLICA_CONTACT_TIMEOUT,
+    UNREADY_VOTER_LOSS_TIMEOUT,
     VOTER_LOSS_TIMEOUT,
 )
 from mustardhold.tables.options import GrowthPolicy
@@ -38,10 +41,10 @@
     if find_change_error(replica, now) is not None:
         return
     members = (
-        with_new_replica(replica, now)
+        with_returned_voter(replica, now)
+        or with_new_replica(replica, now)
         or with_promoted_learner(replica, now, policy)
-        or without_lost_voter(replica, now)
-        or without_lost_learner(replica, now)
+        or without_lost_member(replica, now)
     )
     if members is not None:
         replica.counters['membership', 'changed'] += 1
@@ -56,62 +59,126 @@
     return silence < REPLICA_CONTACT_TIMEOUT.total_seconds()
 
 
+def with_returned_voter(replica: Replica, now: float) -> Members | None:
+    """Return the members with a new data directory in the place of a voter.
+
+    The voter's instance came back with it, so the old one never votes again,
+    and one change may replace it: each majority without the old one shares a
+    replica with each majority of the new voters. The new one need not have
+    caught up. It confirms no entry before it holds all earlier ones, and the
+    others bear the next loss with it, but not with a voter that is gone.
+    """
+    lost_by_instance = {
+        voter.instance_id: voter
+        for voter in other_members(replica)
+        if voter.is_voter and not is_responsive(replica, now, voter)
+    }
+    returned = (*responsive_learners(replica, now), *new_replicas(replica, now))
+    for successor in returned:
+        lost = lost_by_instance.get(successor.instance_id)
+        if lost is not None:
+            remaining = without_member(replica, lost)
+            return (
+                *without_instance_learner(remaining, successor),
+                msgspec.structs.replace(successor, is_voter=True),
+            )
+    return None
+
+
 def with_new_replica(replica: Replica, now: float) -> Members | None:
     """Return the members plus a replica that sent a hello, as a learner.
 
     It replaces an earlier learner of the same instance. None is returned if
     there is no such replica, or if there are ``MAX_REPLICAS`` members.
     """
-    member_uids = {member.uid for member in replica.members}
-    if len(member_uids) >= MAX_REPLICAS:
+    if len(replica.members) >= MAX_REPLICAS:
         return None
-    for received in replica.hellos_by_instance.values():
-        sender = received.hello.sender
-        is_recent = now - received.received_at < HELLO_LIFETIME.total_seconds()
-        if is_recent and sender.uid and sender.uid not in member_uids:
-            learner = msgspec.structs.replace(sender, is_voter=False)
-            remaining = (
-                member
-                for member in replica.members
-                if member.is_voter or member.instance_id != learner.instance_id
-            )
-            return (*remaining, learner)
+    for sender in new_replicas(replica, now):
+        learner = msgspec.structs.replace(sender, is_voter=False)
+        return (*without_instance_learner(replica.members, learner), learner)
     return None
 
 
-def ready_learners(replica: Replica, now: float) -> list[ReplicaMember]:
-    """Return the responsive learners that hold every committed entry."""
+def new_replicas(replica: Replica, now: float) -> list[ReplicaMember]:
+    """Return the replicas that sent a hello lately and are no members.
+
+    A member's new data directory has another uid, so it is not a member yet.
+    """
+    member_uids = {member.uid for member in replica.members}
+    return [
+        received.hello.sender
+        for received in replica.hellos_by_instance.values()
+        if now - received.received_at < HELLO_LIFETIME.total_seconds()
+        and received.hello.sender.uid
+        and received.hello.sender.uid not in member_uids
+    ]
+
+
+def without_instance_learner(
+    members: Members, replica: ReplicaMember
+) -> Members:
+    """Return the members without an earlier learner of a replica's instance."""
+    return tuple(
+        member
+        for member in members
+        if member.is_voter or member.instance_id != replica.instance_id
+    )
+
+
+def responsive_learners(replica: Replica, now: float) -> list[ReplicaMember]:
+    """Return the learners that have replied recently."""
     return [
         member
         for member in other_members(replica)
-        if not member.is_voter
-        and is_responsive(replica, now, member)
-        and match_index_of(replica, member.uid) >= replica.commit_index
+        if not member.is_voter and is_responsive(replica, now, member)
     ]
 
 
+def ready_learners(replica: Replica, now: float) -> list[ReplicaMember]:
+    """Return the responsive learners that have all but caught up."""
+    return [
+        member
+        for member in responsive_learners(replica, now)
+        if has_caught_up(replica, match_index_of(replica, member.uid))
+    ]
+
+
+def has_caught_up(replica: Replica, index: int) -> bool:
+    """Return whether a log that ends at an index lacks at most one message.
+
+    While changes come quickly, hardly any replica holds all of them at once.
+    """
+    is_in_log = entry_at(replica, index) is not None
+    return is_in_log and is_one_message(replica, index)
+
+
 def with_promoted_learner(
     replica: Replica, now: float, policy: GrowthPolicy
 ) -> Members | None:
     """Return the members with one more voter, if one is needed.
 
-    The learner comes from the data centre with the fewest voters.
+    Learners that have caught up go first, then those from the data centre with
+    the fewest voters. If the number of voters is even, one more needs no larger
+    majority, so that a learner may vote before it has caught up.
     """
     voters = [member for member in replica.members if member.is_voter]
     if len(voters) >= policy.voters:
         return None
     voter_instance_ids = {voter.instance_id for voter in voters}
     count_by_centre = Counter(voter.data_centre for voter in voters)
-    ready = [
+    is_even = len(voters) % 2 == 0
+    learners = responsive_learners if is_even else ready_learners
+    candidates = [
         learner
-        for learner in ready_learners(replica, now)
+        for learner in learners(replica, now)
         if learner.instance_id not in voter_instance_ids
     ]
-    if not ready:
+    if not candidates:
         return None
     chosen = min(
-        ready,
+        candidates,
         key=lambda candidate: (
+            not has_caught_up(replica, match_index_of(replica, candidate.uid)),
             count_by_centre[candidate.data_centre],
             candidate.instance_id,
         ),
@@ -124,21 +191,28 @@
     )
 
 
+def without_lost_member(replica: Replica, now: float) -> Members | None:
+    """Return the members without a lost voter or learner, if there is one."""
+    return without_lost_voter(replica, now) or without_lost_learner(
+        replica, now
+    )
+
+
 def without_lost_voter(replica: Replica, now: float) -> Members | None:
     """Return the members without a lost voter that a learner can replace.
 
-    A majority of the remaining voters has to be responsive. If only two remain,
-    both are needed, so the learner has to be ready before the removal. A voter
-    is certainly lost if its instance came back with a new data directory.
+    A majority of the remaining voters has to be responsive. A voter is given
+    up later if no learner has caught up.
     """
     voters = [member for member in replica.members if member.is_voter]
     responsive = [
         voter for voter in voters if is_responsive(replica, now, voter)
     ]
-    ready = ready_learners(replica, now)
-    if not ready or len(responsive) <= (len(voters) - 1) // 2:
+    is_replaceable = bool(responsive_learners(replica, now))
+    if not is_replaceable or len(responsive) <= (len(voters) - 1) // 2:
         return None
-    replaced_instance_ids = {learner.instance_id for learner in ready}
+    is_ready = bool(ready_learners(replica, now))
+    timeout = VOTER_LOSS_TIMEOUT if is_ready else UNREADY_VOTER_LOSS_TIMEOUT
     for voter in voters:
         if voter.uid == replica.local_member.uid or is_responsive(
             replica, now, voter
@@ -147,8 +221,7 @@
         last_contact = max(
             last_contact_with(replica, voter.uid), replica.leader_since
         )
-        is_lost = now - last_contact >= VOTER_LOSS_TIMEOUT.total_seconds()
-        if is_lost or voter.instance_id in replaced_instance_ids:
+        if now - last_contact >= timeout.total_seconds():
             return without_member(replica, voter)
     return None
 
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -2,15 +2,24 @@
 
 import random
 
+import msgspec
 import pytest
 
 from mustardhold.systems import consensus
-from mustardhold.systems.replication import send_entries
+from mustardhold.systems.replica_growth import (
+    grow_group,
+    with_promoted_learner,
+    without_lost_voter,
+)
+from mustardhold.systems.replica_log import append_command
+from mustardhold.systems.replication import commit_to, send_entries
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.consensus import (
     AppendReply,
     AppendRequest,
+    ConfigurationCommand,
     Effects,
+    Hello,
     Progress,
     ReplicaMember,
     Role,
@@ -21,6 +30,7 @@
     SNAPSHOT_BYTES,
     SNAPSHOT_QUICK_RETRY,
     SNAPSHOT_RETRY,
+    UNREADY_VOTER_LOSS_TIMEOUT,
 )
 from mustardhold.tables.options import GrowthPolicy
 
@@ -147,3 +157,85 @@
     leader.change(2 * MAX_CATCH_UP_BYTES // DOCUMENT_BYTES)
     size = len(leader.replica.log) * DOCUMENT_BYTES
     assert size < MAX_CATCH_UP_BYTES + 2 * SNAPSHOT_BYTES
+
+
+def say_hello(leader, member):
+    """Let a replica with a new data directory introduce itself."""
+    hello = Hello(member, is_formed=False, is_answer=True)
+    consensus.step(leader.replica, leader.now, hello)
+
+
+@pytest.mark.parametrize('is_learner', [False, True])
+def test_returned_instance_takes_the_place_of_its_lost_folder_at_once(
+    is_learner,
+):
+    """Guards against a majority that needs all others until it caught up."""
+    earlier = (EARLIER,) if is_learner else ()
+    leader = Leader((LEADER, FOLLOWER, LOST, *earlier))
+    leader.now += 2
+    leader.replica.progress_by_uid[FOLLOWER.uid].last_contact_at = leader.now
+    say_hello(leader, RETURNED)
+    grow_group(leader.replica, leader.now, POLICY, Effects())
+    members = leader.replica.members
+    assert [member.uid for member in members] == ['c1/1', 'c2/1', 'c3/2']
+    assert all(member.is_voter for member in members)
+
+
+def test_learner_takes_the_place_of_its_lost_folder():
+    """Guards against a returned instance that stays a learner for seconds."""
+    learner = msgspec.structs.replace(RETURNED, is_voter=False)
+    leader = Leader((LEADER, FOLLOWER, LOST, learner))
+    leader.now += 2
+    for member in (FOLLOWER, learner):
+        leader.replica.progress_by_uid[member.uid].last_contact_at = leader.now
+    grow_group(leader.replica, leader.now, POLICY, Effects())
+    assert leader.replica.members == (LEADER, FOLLOWER, RETURNED)
+
+
+def test_responsive_voter_keeps_its_place():
+    leader = Leader()
+    say_hello(leader, RETURNED)
+    grow_group(leader.replica, leader.now, POLICY, Effects())
+    voters = {one.uid for one in leader.replica.members if one.is_voter}
+    assert voters == {'c1/1', 'c2/1', 'c3/1'}
+
+
+def add_backlog(leader):
+    """Commit more than one message holds, which no learner has yet."""
+    effects = Effects()
+    for version in range(1, 20):
+        document = VersionedDocument(version, bytes(DOCUMENT_BYTES))
+        append_command(leader.replica, ConfigurationCommand(document), effects)
+    commit_to(leader.replica, leader.replica.log[-1].index, effects)
+
+
+@pytest.mark.parametrize(
+    ('members', 'is_promoted'),
+    [
+        ((LEADER, FOLLOWER, FURTHER), True),
+        ((LEADER, FURTHER), False),
+    ],
+    ids=['even', 'odd'],
+)
+def test_learner_that_lags_is_promoted_where_no_majority_grows(
+    members, is_promoted
+):
+    """Guards against two voters that both have to be there for long."""
+    leader = Leader(members)
+    add_backlog(leader)
+    promoted = with_promoted_learner(leader.replica, leader.now, POLICY)
+    assert (promoted is not None) == is_promoted
+
+
+def test_lost_voter_is_given_up_later_if_no_learner_has_caught_up():
+    leader = Leader((LEADER, FOLLOWER, LOST, FURTHER))
+    add_backlog(leader)
+    for seconds, is_removed in ((2.0, False), (3.1, True)):
+        assert (seconds > UNREADY_VOTER_LOSS_TIMEOUT.total_seconds()) is (
+            is_removed
+        )
+        now = leader.now + seconds
+        for member in (FOLLOWER, FURTHER):
+            leader.replica.progress_by_uid[member.uid].last_contact_at = now
+        members = without_lost_voter(leader.replica, now)
+        assert (members is not None) == is_removed
