Ask again soon after a request for votes that was refused

Callers saw: up to 4.2 s without a leader after its loss.

Cause: who heard of the lost leader a little later refuses the first request for pre-votes, and the next one came a whole election timeout later.

A pre-vote changes no term, so it disturbs nobody.

--- a/src/mustardhold/systems/election.py
+++ b/src/mustardhold/systems/election.py
@@ -59,7 +59,7 @@
 
 
 def schedule_election_retry(replica: Replica, now: float) -> None:
-    """Set the next election to a random time after a split vote.
+    """Set the next election to a random time after a split or refused vote.
 
     There is no leader in that case, so the wait is shorter than the election
     timeout.
@@ -135,10 +135,15 @@
 
 
 def start_pre_vote(replica: Replica, now: float, effects: Effects) -> None:
-    """Request pre-votes from the other voters, without starting a new term."""
-    reset_election_timer(replica, now)
+    """Request pre-votes from the other voters, without starting a new term.
+
+    One that is refused, since the other voters heard of the leader a little
+    later, is soon followed by the next; it disturbs nobody.
+    """
     if not is_voter(replica):
+        reset_election_timer(replica, now)
         return
+    schedule_election_retry(replica, now)
     replica.role = Role.PRE_CANDIDATE
     replica.leader = None
     replica.granting_uids = {replica.local_member.uid}
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -24,8 +24,11 @@
     ReplicaMember,
     Role,
     SnapshotRequest,
+    VoteReply,
+    VoteRequest,
 )
 from mustardhold.tables.constants import (
+    ELECTION_RETRY,
     MAX_CATCH_UP_BYTES,
     SNAPSHOT_BYTES,
     SNAPSHOT_QUICK_RETRY,
@@ -239,3 +242,19 @@
             leader.replica.progress_by_uid[member.uid].last_contact_at = now
         members = without_lost_voter(leader.replica, now)
         assert (members is not None) == is_removed
+
+
+def test_refused_vote_is_requested_again_after_a_short_time():
+    """Guards against a failover that takes a whole timeout longer."""
+    replica = consensus.make_replica(
+        LEADER, (LEADER, FOLLOWER, LOST), random.Random(1).random, 0
+    )
+    replica.members = (LEADER, FOLLOWER, LOST)
+    first = replica.election_due_at
+    effects = consensus.tick(replica, first)
+    assert any(isinstance(one.message, VoteRequest) for one in effects.sends)
+    refusal = VoteReply(FOLLOWER, 0, is_granted=False, is_pre_vote=True)
+    consensus.step(replica, first, refusal)
+    longest = 2 * ELECTION_RETRY.total_seconds()
+    effects = consensus.tick(replica, first + longest)
+    assert any(isinstance(one.message, VoteRequest) for one in effects.sends)
