Make room for the hello of a new control instance

Cause: a replica kept the last hello of each instance for the life of its process and refused those of further ones; an instance is an address, so the table was full of instances that are gone.

Change: the hello that was heard longest ago makes room, one of a member last.

--- a/src/mustardhold/systems/replica_membership.py
+++ b/src/mustardhold/systems/replica_membership.py
@@ -125,8 +125,8 @@
     hellos = replica.hellos_by_instance
     instance_id = hello.sender.instance_id
     if instance_id not in hellos and len(hellos) >= MAX_REPLICAS:
-        replica.counters['membership', 'hello-refused'] += 1
-        return
+        hellos.pop(least_needed_hello(replica))
+        replica.counters['membership', 'hello-dropped'] += 1
     hellos[instance_id] = ReceivedHello(hello, now)
     if not hello.is_answer:
         reply = Hello(
@@ -138,6 +138,20 @@
         effects.sends.append(ReplicaSend(hello.sender, reply))
 
 
+def least_needed_hello(replica: Replica) -> str:
+    """Return the instance whose hello makes room for that of another one.
+
+    It is the one heard longest ago; one of a member only if there are no
+    others. Instances come and go, and the newest has to be taken in.
+    """
+    member_ids = {member.instance_id for member in replica.members}
+    hellos = replica.hellos_by_instance
+    return min(
+        hellos,
+        key=lambda one: (one in member_ids, hellos[one].received_at),
+    )
+
+
 def form_group(replica: Replica, now: float, effects: Effects) -> None:
     """Form a group once all peers have sent a hello and none is in a group.
 
--- a/tests/test_replica_peers.py
+++ b/tests/test_replica_peers.py
@@ -6,7 +6,8 @@
 
 from mustardhold.systems import consensus
 from mustardhold.systems.replica_membership import known_peers, update_peers
-from mustardhold.tables.consensus import ReplicaMember, Vote
+from mustardhold.tables.consensus import Hello, ReplicaMember, Vote
+from mustardhold.tables.constants import MAX_REPLICAS
 from mustardhold.tables.options import GrowthPolicy
 
 
@@ -40,3 +41,21 @@
     replica = replica_of(growth, is_formed=is_formed)
     update_peers(replica, ('c7', 'c8'))
     assert {peer.instance_id for peer in known_peers(replica)} == expected_peers
+
+
+def test_hello_of_the_newest_instance_is_taken_in_however_many_came_before():
+    """Guards against a group that takes in no new instance after 24 hellos."""
+    replica = replica_of(GrowthPolicy(3, may_form=False), is_formed=True)
+    member = ReplicaMember('c1/1', 'c1', 'c1')
+    replica.members = (replica.local_member, member)
+    for number in range(10 * MAX_REPLICAS):
+        for sender in (member, ReplicaMember('new', f'n{number}', 'new')):
+            # The member introduces itself only once, before all others.
+            if number == 0 or sender is not member:
+                hello = Hello(sender, is_formed=False, is_answer=False)
+                consensus.step(replica, float(number), hello)
+        assert f'n{number}' in replica.hellos_by_instance
+        assert 'c1' in replica.hellos_by_instance
+    assert len(replica.hellos_by_instance) == MAX_REPLICAS
+    dropped = replica.counters['membership', 'hello-dropped']
+    assert dropped == 10 * MAX_REPLICAS + 1 - MAX_REPLICAS
