Ask the control instances of the group, not those that left it

Cause: a balancer remembered every control instance ever named, and tried those that had left before those that had just failed, two at a time and 2 s each.

Change: the instances that the current sources name are kept, and only these are asked, until there was no source for 5 s. Posts of evidence and the names that are passed on to followers use the same list.

Tries are not hedged yet, and known addresses have no limit.

--- a/src/mustardhold/daemons/evidence_posts.py
+++ b/src/mustardhold/daemons/evidence_posts.py
@@ -1,7 +1,7 @@
 """Posts what a balancer saw of bad answers to the collector of each service."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -59,7 +59,7 @@
 
     reporter: str
     tracking: AnswerTracking
-    addresses: Callable[[], set[str]]
+    addresses: Callable[[], Iterable[str]]
     clock: Clock
     http_client: HttpClient
     counters: Counter[tuple[str, str]]
--- a/src/mustardhold/daemons/evidence_tasks.py
+++ b/src/mustardhold/daemons/evidence_tasks.py
@@ -7,6 +7,7 @@
     check_answers_periodically,
     post_evidence_periodically,
 )
+from mustardhold.daemons.feed_state import group_addresses
 from mustardhold.daemons.token_packets import TokenBalancer
 
 
@@ -22,7 +23,7 @@
     poster = EvidencePoster(
         balancer.options.instance_id,
         tracking,
-        lambda: feed_client.known_addresses,
+        lambda: group_addresses(feed_client),
         balancer.clock,
         feed_client.http_client,
         balancer.tables.counters,
--- a/src/mustardhold/daemons/feed_client.py
+++ b/src/mustardhold/daemons/feed_client.py
@@ -12,6 +12,7 @@
     FEED_RETRY,
     FEED_RETRY_SHARE,
     FEED_STALE_AFTER,
+    GROUP_AWAY_PERIOD,
 )
 from mustardhold.tables.feed import NEVER_CONFIRMED, FeedSource
 
@@ -37,14 +38,14 @@
 def next_addresses(client: FeedClient) -> list[str]:
     """Choose further addresses to poll, named relays first.
 
-    Then come those that have not failed for longest. A hash of the process and
-    the address decides between equal ones, so that processes spread over the
-    sources.
+    Then come the control instances of the group, of these the ones that have
+    not failed for longest. A hash of the process and the address decides
+    between equal ones, so that processes spread over the sources.
     """
     now = client.clock.monotonic()
     candidates = [
         address
-        for address in client.known_addresses | client.relay_addresses
+        for address in addresses_to_try(client, now)
         if address not in client.polled
         and address != client.identity.address
         and is_retry_due(client, now, address)
@@ -52,6 +53,7 @@
     candidates.sort(
         key=lambda address: (
             address not in client.relay_addresses,
+            address not in client.current_controls,
             client.failed_at.get(address, NEVER),
             rendezvous_rank(client.identity.name, address),
         )
@@ -59,6 +61,29 @@
     return candidates[: count_to_try(client)]
 
 
+def addresses_to_try(client: FeedClient, now: float) -> set[str]:
+    """Return the relays, and the control instances that may be there.
+
+    One that left the group does not answer, and a try takes seconds to fail.
+    So a balancer asks those of the group alone, unless all of them are away
+    for long: they may have been replaced meanwhile.
+    """
+    is_control = client.document_sink is None
+    current = client.current_controls
+    if is_control or not current or is_group_away(client, now):
+        return client.known_addresses | client.relay_addresses
+    return client.relay_addresses | current
+
+
+def is_group_away(client: FeedClient, now: float) -> bool:
+    """Return whether this process has followed no source for long."""
+    away = now - client.source_lost_at
+    return (
+        not client.sources_by_address
+        and away > GROUP_AWAY_PERIOD.total_seconds()
+    )
+
+
 def is_retry_due(client: FeedClient, now: float, address: str) -> bool:
     """Return whether an address that failed may be tried again."""
     failed_at = client.failed_at.get(address, NEVER)
@@ -164,7 +189,9 @@
     """
     now = client.clock.monotonic()
     is_reached = address in client.sources_by_address
-    client.sources_by_address.pop(address, None)
+    if is_reached:
+        client.sources_by_address.pop(address)
+        client.source_lost_at = now
     if cause in {'full', 'surplus'}:
         client.log.info(
             'feed source not needed', extra={'address': address, 'cause': cause}
--- a/src/mustardhold/daemons/feed_polls.py
+++ b/src/mustardhold/daemons/feed_polls.py
@@ -124,7 +124,8 @@
     """
     reply = received.reply
     client.has_received = True
-    client.known_addresses.update(reply.controls)
+    if reply.controls:
+        learn_controls(client, source, reply.controls)
     new_reports = merge_rows(
         client.directory,
         received.made_at,
@@ -156,6 +157,20 @@
     client.on_reply(received)
 
 
+def learn_controls(
+    client: FeedClient, source: FeedSource, controls: tuple[str, ...]
+) -> None:
+    """Learn the group's control instances, as the current sources name them.
+
+    One source may lag behind a change of the group, so each is believed.
+    """
+    source.controls = frozenset(controls)
+    client.known_addresses.update(controls)
+    client.current_controls = source.controls.union(
+        *(one.controls for one in client.sources_by_address.values())
+    )
+
+
 def usable_rows(
     client: FeedClient, address: str, rows: tuple[DirectoryRow, ...]
 ) -> Iterator[DirectoryRow]:
--- a/src/mustardhold/daemons/feed_state.py
+++ b/src/mustardhold/daemons/feed_state.py
@@ -74,7 +74,11 @@
         Number of sources to follow; no others are polled once that many have
         replied.
     known_addresses
-        Internal addresses of all known control instances.
+        Internal addresses of all control instances that were ever named, by the
+        settings or by sources; the group may have lost some since.
+    current_controls
+        Those of the group by the latest words of the sources; empty before the
+        first.
     document_sink
         Receives newer configurations; ``None`` if the process gets them by
         other means, as a control instance does.
@@ -99,6 +103,8 @@
         When an address last failed or was released; local clock.
     outage_began
         When an address failed first since it last replied; local clock.
+    source_lost_at
+        When a source was last left, local clock.
     started_at
         When the process started, local clock.
     has_received
@@ -121,6 +127,7 @@
     on_reply: Callable[[ReceivedReply], None]
     evacuation_revision: Callable[[], int] = no_revision
     followers: Callable[[], float] = no_followers
+    current_controls: frozenset[str] = frozenset()
     http_client: HttpClient = field(default_factory=HttpClient)
     relay_addresses: set[str] = field(default_factory=set)
     relay_failed_at: dict[str, float] = field(default_factory=dict)
@@ -128,8 +135,14 @@
     sources_by_address: dict[str, FeedSource] = field(default_factory=dict)
     failed_at: dict[str, float] = field(default_factory=dict)
     outage_began: dict[str, float] = field(default_factory=dict)
+    source_lost_at: float = float('-inf')
     started_at: float = 0
     has_received: bool = False
     newest_version: int = 0
     newest_source: str = ''
     update_found: trio.Event = field(default_factory=trio.Event)
+
+
+def group_addresses(client: FeedClient) -> tuple[str, ...]:
+    """Return the control instances of the group; all known ones at first."""
+    return tuple(sorted(client.current_controls or client.known_addresses))
--- a/src/mustardhold/daemons/token_balancer.py
+++ b/src/mustardhold/daemons/token_balancer.py
@@ -20,6 +20,7 @@
     DocumentSink,
     FeedClient,
     WatcherIdentity,
+    group_addresses,
 )
 from mustardhold.daemons.link_sending import LinkSender, run_link_sender
 from mustardhold.daemons.metrics_server import serve_metrics
@@ -87,7 +88,7 @@
         tables.directory,
         lambda: balancer.document,
         lambda: tables.last_feed_at,
-        lambda: tuple(sorted(feed_client.known_addresses)),
+        lambda: group_addresses(feed_client),
         clock,
         FEED_WATCHERS_PER_BALANCER,
         lambda: tables.evacuations,
--- a/src/mustardhold/tables/constants.py
+++ b/src/mustardhold/tables/constants.py
@@ -167,6 +167,7 @@
 FEED_RETRY: Final = timedelta(milliseconds=150)
 FEED_MAX_RETRY: Final = timedelta(seconds=1)
 FEED_RETRY_SHARE: Final = 0.1
+GROUP_AWAY_PERIOD: Final = timedelta(seconds=5)
 FEED_WATCHERS_PER_CONTROL: Final = 32
 FEED_WATCHERS_PER_BALANCER: Final = 16
 SUGGESTED_RELAYS: Final = 3
--- a/src/mustardhold/tables/feed.py
+++ b/src/mustardhold/tables/feed.py
@@ -184,6 +184,8 @@
     balancers
         Number of balancers that it knows; of a control instance to another, the
         part that follows it.
+    controls
+        Addresses of the control instances of the group, as it named them last.
     """
 
     position: FeedPosition = field(default_factory=FeedPosition)
@@ -192,6 +194,7 @@
     version: int = 0
     confirmed_at: float = NEVER_CONFIRMED
     balancers: float = 0
+    controls: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -24,12 +24,17 @@
     send_request,
 )
 from mustardhold.adapters.http_server import serve_http
-from mustardhold.daemons.feed_client import next_addresses, run_feed_client
+from mustardhold.daemons.feed_client import (
+    next_addresses,
+    release_source,
+    run_feed_client,
+)
 from mustardhold.daemons.feed_handlers import (
     handle_feed_poll,
     show_document,
     wait_merged,
 )
+from mustardhold.daemons.feed_polls import learn_controls
 from mustardhold.daemons.feed_publisher import FeedPublisher, wake_watchers
 from mustardhold.daemons.feed_state import (
     DocumentSink,
@@ -40,6 +45,7 @@
 from mustardhold.tables.configurations import NO_DOCUMENT, VersionedDocument
 from mustardhold.tables.constants import (
     FEED_WATCHERS_PER_CONTROL,
+    GROUP_AWAY_PERIOD,
     SNAPSHOT_LIFETIME,
 )
 from mustardhold.tables.directory import Directory, ServerReport, ServerState
@@ -175,6 +181,32 @@
     assert set(next_addresses(client)) == set(expected)
 
 
+GONE = {f'gone-{number}' for number in range(100)}
+
+
+def test_control_instances_that_left_the_group_are_not_tried_first():
+    """Guards against minutes of tries of instances that were replaced."""
+    client = make_client(set(GONE), DocumentSink(lambda: 1, print, lambda: 0))
+    source = FeedSource()
+    client.sources_by_address['a'] = source
+    for controls in (('gone-1', 'a', 'b'), ('a', 'b', 'c')):
+        learn_controls(client, source, controls)
+    assert client.current_controls == {'a', 'b', 'c'}
+    for address in ('a', 'b'):
+        release_source(client, address, 'failed')
+    assert set(next_addresses(client)) == {'c'}
+    now = client.clock.monotonic()
+    client.failed_at.update(dict.fromkeys('abc', now - 2))
+    assert set(next_addresses(client)) < {'a', 'b', 'c'}
+    # After a long time without any of them, all that are known are asked.
+    client.source_lost_at = now - 2 * GROUP_AWAY_PERIOD.total_seconds()
+    client.polled.update('abc')
+    client.polled.discard('b')
+    client.limit = 5
+    assert set(next_addresses(client)) - GONE == {'b'}
+    assert set(next_addresses(client)) & GONE
+
+
 async def test_slow_configuration_does_not_delay_server_changes(
     control, feed_client
 ):
