Keep the commit index readable after a full disk

Callers would see: after a restart of all control instances, the state of before a disk was full in force until there is a leader.

Cause: a refused append of the commit index may leave a part of the record; the next ones went behind it, where they cannot be read.

Change: after a refused write the file is replaced.

--- a/src/mustardhold/adapters/replica_store.py
+++ b/src/mustardhold/adapters/replica_store.py
@@ -308,6 +308,9 @@
         replace_file(store.disk, COMMIT_NAME, packed)
         store.commit_size = len(packed)
         return
+    size = store.commit_size + len(packed)
+    # Nothing could be read behind a part of this record.
+    store.commit_size = MAX_COMMIT_BYTES
     store.disk.append(COMMIT_NAME, packed)
-    store.commit_size += len(packed)
     store.disk.sync(COMMIT_NAME)
+    store.commit_size = size
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mustardhold.adapters.replica_reload import ensure_reloaded, save_step
-from mustardhold.adapters.replica_store import open_store
+from mustardhold.adapters.replica_store import open_store, save_commit
 from mustardhold.systems import consensus
 from mustardhold.tables.configurations import VersionedDocument
 from mustardhold.tables.consensus import (
@@ -108,3 +108,15 @@
     process.disk.refused, process.disk.error = EVERYTHING, errno.EIO
     with pytest.raises(OSError, match='refused'):
         process.receive(OTHER_ENTRIES)
+
+
+def test_commit_index_is_kept_after_a_record_that_was_cut_off(process):
+    """Guards against a start that knows no commit since the disk was full."""
+    save_commit(process.store, 1)
+    process.disk.refused = EVERYTHING
+    with pytest.raises(OSError, match='refused'):
+        save_commit(process.store, 2)
+    process.disk.refused = frozenset()
+    save_commit(process.store, 2)
+    _, saved = open_store(process.disk)
+    assert saved.commit_index == 2
