--- a/src/mustardhold/systems/replica_growth.py
+++ b/src/mustardhold/systems/replica_growth.py
@@ -1,8 +1,9 @@
 """Automatic growth and repair of the group of replicas.
 
-Replicas that send a hello become learners. Learners that have caught up become
-voters up to the target number, and replace voters that are lost. Each change is
-committed before the next one starts.
+Replicas that send a hello become learners. Learners become voters up to the
+target number, and replace voters that are lost; the new data directory of a
+voter's instance takes its place at once. Each change is committed before the
+next one starts.
 """
 
 from collections import Counter
--- a/tests/test_odd_reports.py
+++ b/tests/test_odd_reports.py
@@ -5,7 +5,6 @@
 import logging
 import random
 from collections import Counter
-from datetime import timedelta
 from http import HTTPStatus
 
 import msgspec
@@ -25,7 +24,6 @@
 from mustardhold.daemons.directory_maintenance import save_periodically
 from mustardhold.daemons.feed_polls import merge_reply
 from mustardhold.daemons.feed_state import FeedClient, WatcherIdentity
-from mustardhold.daemons.registry_state import make_control
 from mustardhold.daemons.replica_node import close_node
 from mustardhold.platform.control import handle_report
 from mustardhold.platform.reports import read_report
@@ -42,10 +40,9 @@
     FeedSource,
     ReceivedReply,
 )
-from mustardhold.tables.options import ControlOptions, GrowthPolicy, Replica
 from mustardhold.tables.outcomes import Err
 from tools.fakes.disks import FakeDisk
-from tools.processes import free_tcp_address
+from tools.fakes.single_control import make_single_control
 
 SOUND = ServerReport(
     'i-a1', 100, 1, 'feed', '10.0.0.1:80', 'dc-1', 2, ServerState.READY
@@ -73,20 +70,7 @@
 
 @pytest.fixture
 def control(tmp_path):
-    address = free_tcp_address()
-    made = make_control(
-        ControlOptions(
-            address,
-            'dc-1',
-            address,
-            str(tmp_path),
-            (Replica(address, 'dc-1', address),),
-        ),
-        GrowthPolicy(1, may_form=True),
-        timedelta(seconds=1),
-        SystemClock(),
-        logging.getLogger('test'),
-    )
+    made = make_single_control(tmp_path)
     yield made
     close_node(made.node)
 
--- a/tests/test_server_reports.py
+++ b/tests/test_server_reports.py
@@ -1,22 +1,17 @@
 """Reports of leaving servers: what is acknowledged outlives a restart."""
 
-import logging
-from datetime import timedelta
-
 import msgspec
 import pytest
 import trio
 
-from mustardhold.adapters.clock import SystemClock
 from mustardhold.adapters.directory_store import DirectoryStore, load_reports
 from mustardhold.daemons import directory_maintenance
 from mustardhold.daemons.directory_maintenance import save_periodically
-from mustardhold.daemons.registry_state import make_control, share_report
+from mustardhold.daemons.registry_state import share_report
 from mustardhold.daemons.replica_node import close_node
 from mustardhold.systems.directory import final_report
 from mustardhold.tables.directory import ServerReport, ServerState
-from mustardhold.tables.options import ControlOptions, GrowthPolicy, Replica
-from tools.processes import free_tcp_address
+from tools.fakes.single_control import make_single_control
 
 READY = ServerReport(
     'i-a1', 100, 1, 'feed', '10.0.0.1:80', 'dc-1', 2, ServerState.READY
@@ -25,21 +20,7 @@
 
 @pytest.fixture
 def control(tmp_path):
-    address = free_tcp_address()
-    options = ControlOptions(
-        address,
-        'dc-1',
-        address,
-        str(tmp_path),
-        (Replica(address, 'dc-1', address),),
-    )
-    made = make_control(
-        options,
-        GrowthPolicy(1, may_form=True),
-        timedelta(seconds=1),
-        SystemClock(),
-        logging.getLogger('test'),
-    )
+    made = make_single_control(tmp_path)
     yield made
     close_node(made.node)
 
