--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -710,7 +710,7 @@
     record.line(f'with the disruption: {has_trouble}')
     try:
         violations = asyncio.run(
-            asyncio.wait_for(case(record, has_trouble), 110)
+            asyncio.wait_for(case(record, has_trouble), 115)
         )
     except (CaseError, TimeoutError, OSError) as error:
         record.line(f'the case could not run: {error!r}')
