--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,7 +23,8 @@
 FLOW_SECONDS = 0.5
 REQUEST_SECONDS = 0.02
 TOTAL = STORMS * CHANGES
-EARLIER, LATER = ('balancer-1', 'balancer-2', 'balancer-3'), (6, 5, 4)
+EARLIER = ('balancer-1', 'balancer-2', 'balancer-3', 'balancer-4')
+LATER = (7, 6, 5)
 
 
 def address(number):
@@ -88,7 +89,7 @@
 async def restart_earlier(stage, versions):
     """Restart some balancers, long before, while desired states are sent."""
     tasks = []
-    async for _ in change_routes(stage, versions, [TOTAL] * 20):
+    async for _ in change_routes(stage, versions, [TOTAL] * 24):
         if len(tasks) < len(EARLIER):
             name = EARLIER[len(tasks)]
             tasks.append(asyncio.create_task(restart(stage, name)))
@@ -133,7 +134,7 @@
 
 async def case(record, has_trouble):
     """Play the case."""
-    stage = Stage(record, balancers=6)
+    stage = Stage(record, balancers=7)
     versions = itertools.count(1, 3)
     violations = []
     try:
