--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -268,15 +268,18 @@
 
     async def end(self):
         """End all processes and tasks, and remove the folder."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        pending = set(self.tasks)
+        # A wait that ends at the same moment may swallow a cancellation.
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=0.5)
         if os.environ.get('KEEP_LOGS'):
             sys.stderr.write(f'logs in {self.folder}\n')
         else:
@@ -444,6 +447,7 @@
         self.acked = asyncio.Event()
         self.draining_acked_at = None
         self.changed_packets = 0
+        self.order = list(stage.controls)
 
     @property
     def name(self):
@@ -451,18 +455,26 @@
         return f'{self.id}@{self.ip}'
 
     async def begin(self):
-        """Listen, and begin to check in."""
+        """Listen, and check in until an instance acknowledges it."""
+        await self.listen()
+        self.check_in()
+        await asyncio.wait_for(self.acked.wait(), START_SECONDS)
+
+    async def listen(self):
+        """Listen for packets."""
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self.ip, SERVER_PORT)
         )
         self.is_running = True
-        self.task = asyncio.create_task(self.check_in_repeatedly())
-        self.stage.tasks.append(self.task)
         self.stage.record.line(
             f'server {self.name} of {self.service} starts, born {self.born}'
         )
-        await asyncio.wait_for(self.acked.wait(), START_SECONDS)
+
+    def check_in(self):
+        """Begin to check in."""
+        self.task = asyncio.create_task(self.check_in_repeatedly())
+        self.stage.tasks.append(self.task)
 
     def crash(self):
         """Forget all flows and send nothing more."""
@@ -489,8 +501,8 @@
 
     async def check_in_repeatedly(self):
         """Check in at an instance; go to the next one after a failure."""
-        order = list(self.stage.controls)
         while self.is_running:
+            order = self.order
             state = self.state
             body = json.dumps(self.check_in_body()).encode()
             address = f'{self.stage.ip(order[0])}:{CONTROL_PORT}'
